Add claimHeldBySender to the request head

Cause: a VM that holds the claim of an order passes it to the pool owner; the owner must not look for a claim of its own, and must tell this apart from a copy that is passed on to the VM that holds the claim.

Ruled out: claims taken by the pool owner. The VM where the order arrived can then not tell a copy it may not refuse from one it may.

Change: one field in RequestHead. No behaviour yet.

--- a/include/dragonflymoor/Model/Request.h
+++ b/include/dragonflymoor/Model/Request.h
@@ -40,7 +40,10 @@
   TimePoint deadline;
   std::optional<OrderKey> order; ///< Set exactly for non-idempotent requests.
   bool firstCopy = false;        ///< The caller states that it sent no other copy.
-  uint64_t fingerprint = 0;      ///< Hash of service, method, target and body.
+  /// The VM that passed this order on holds its claim: run it at most once without a claim of its
+  /// own.
+  bool claimHeldBySender = false;
+  uint64_t fingerprint = 0; ///< Hash of service, method, target and body.
   uint64_t requestBytes = 0;
   /// The VM that passed the request on, and its region; empty when the caller is connected here.
   std::optional<VmId> forwardedBy;
