Replace claimHeldBySender by the claimer in the request head

Cause: a VM that receives a forwarded order must tell apart a copy for its own claim, an order to execute and an order of an earlier run of its VM.

Ruled out: a flag, which cannot name an earlier run.

Change: RequestHead::claimer holds the VM run that owns the claim.

--- a/include/dragonflymoor/Model/Request.h
+++ b/include/dragonflymoor/Model/Request.h
@@ -40,14 +40,14 @@
   TimePoint deadline;
   std::optional<OrderKey> order; ///< Set exactly for non-idempotent requests.
   bool firstCopy = false;        ///< The caller states that it sent no other copy.
-  /// The VM that passed this order on holds its claim: run it at most once without a claim of its
-  /// own.
-  bool claimHeldBySender = false;
-  uint64_t fingerprint = 0; ///< Hash of service, method, target and body.
+  uint64_t fingerprint = 0;      ///< Hash of service, method, target and body.
   uint64_t requestBytes = 0;
   /// The VM that passed the request on, and its region; empty when the caller is connected here.
   std::optional<VmId> forwardedBy;
   std::optional<RegionId> forwardedFrom;
+  /// For an order that a VM passed on: the VM run that holds its claim. The receiver executes the
+  /// order when the sender holds the claim, and attaches the copy when it holds the claim itself.
+  std::optional<VmInstance> claimer;
 
   auto operator<=>(const RequestHead&) const = default;
 };
