Carry the pool owner in a reply

Cause: a VM that answers not-owner must name the owner it knows in the ForwardReply that the shell builds from the reply.

Change: Reply::owner. No behaviour yet.

--- a/include/dragonflymoor/Model/Request.h
+++ b/include/dragonflymoor/Model/Request.h
@@ -70,6 +70,7 @@
   AttemptId attempt;    ///< Valid when source is Attempt.
   RequestId remembered; ///< Request whose answer is repeated; valid when source is Remembered.
   std::optional<Duration> retryAfter;
+  std::optional<VmId> owner; ///< With reason NotOwner: the VM to ask instead.
 
   auto operator<=>(const Reply&) const = default;
 };
