Allow designated initialisers that leave members at their defaults

Cause: -Wextra warns about each member that a designated initialiser leaves out, which is how option structs are meant to be used here.

Change: -Wno-missing-field-initializers for all targets; the other warnings stay errors.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -1,3 +1,6 @@
+# Designated initialisers leave members at their defaults on purpose.
+set(DFM_WARNINGS -Wall -Wextra -Werror -Wno-missing-field-initializers)
+
 # dfm_library(<Component> [DEPENDS <Component or target>...])
 # Defines the static library dfm<Component> from every *.cpp file of the current directory.
 function(dfm_library component)
@@ -5,7 +8,7 @@
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   add_library(dfm${component} STATIC ${sources})
   target_include_directories(dfm${component} PUBLIC ${PROJECT_SOURCE_DIR}/include)
-  target_compile_options(dfm${component} PRIVATE -Wall -Wextra -Werror)
+  target_compile_options(dfm${component} PRIVATE ${DFM_WARNINGS})
   target_link_libraries(dfm${component} PUBLIC fmt::fmt tl::expected ${ARG_DEPENDS})
 endfunction()
 
@@ -15,7 +18,7 @@
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   add_executable(${program} ${sources})
-  target_compile_options(${program} PRIVATE -Wall -Wextra -Werror)
+  target_compile_options(${program} PRIVATE ${DFM_WARNINGS})
   target_link_libraries(${program} PRIVATE ${ARG_DEPENDS})
 endfunction()
 
@@ -25,7 +28,7 @@
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   add_executable(${component}Tests ${sources})
-  target_compile_options(${component}Tests PRIVATE -Wall -Wextra -Werror)
+  target_compile_options(${component}Tests PRIVATE ${DFM_WARNINGS})
   target_link_libraries(${component}Tests PRIVATE dfm${component} ${ARG_DEPENDS} PkgConfig::CRITERION rapidcheck)
   add_test(NAME ${component} COMMAND ${component}Tests --jobs 2)
   set_tests_properties(${component} PROPERTIES TIMEOUT 300)
