Let a reply withhold its answer from a link

Cause: an answer to another region may have to wait for link budget until its receiver has given up. The engine must still hand it to the shell, which keeps answers of orders for repeats.

Ruled out: sending it over the cap; dropping it, which loses the repeat.

Change: Reply::withheld.

--- a/include/dragonflymoor/Model/Request.h
+++ b/include/dragonflymoor/Model/Request.h
@@ -70,6 +70,9 @@
   AttemptId attempt;    ///< Valid when source is Attempt.
   RequestId remembered; ///< Request whose answer is repeated; valid when source is Remembered.
   std::optional<Duration> retryAfter;
+  /// The answer must not be sent, because the link budget did not allow it in time: the peer is
+  /// told unknown with reason LinkBudget. The answer of an order is kept for repeats all the same.
+  bool withheld = false;
   std::optional<VmId> owner; ///< With reason NotOwner: the VM to ask instead.
 
   auto operator<=>(const Reply&) const = default;
