--- a/include/dragonflymoor/Config/ListKeeper.h
+++ b/include/dragonflymoor/Config/ListKeeper.h
@@ -91,25 +91,30 @@
   struct Peer
   {
     Vm vm;
+    bool leaving = false;
     std::array<ListVersion, kListCount> versions{};
   };
+  /// State of one list besides its content in force.
   struct List
   {
-    std::string content;         ///< Original text of the version in force.
-    ListVersion highestSeen = 0; ///< Also counts refused versions.
-    std::set<ListVersion> refused;
-    bool absent = false;   ///< The store stated that the object does not exist.
-    bool watching = false; ///< Whether this VM should hold a watch.
-    bool readOnce = false; ///< The store has answered a read.
+    std::string content;           ///< Original text of the version in force.
+    ListVersion highestSeen = 0;   ///< Also counts refused versions.
+    std::set<ListVersion> refused; ///< Versions above the one in force with invalid content.
+    bool absent = false;           ///< The store stated that the object does not exist.
+    bool storeAnswered = false;    ///< The store has answered a read.
+    bool settled = false;          ///< The version in force is not left over from a lagging peer.
+    bool watching = false;         ///< This VM holds watches.
     std::optional<StoreCallId> call;
+    bool callIsWatch = false;
     TimePoint callStarted;
     TimePoint nextCall;
-    unsigned failures = 0;
-    std::optional<VmId> asked; ///< Peer with an outstanding pull.
-    ListVersion askedVersion = 0;
+    unsigned callFailures = 0;
+    ListVersion highestOffered = 0; ///< By any peer, perhaps out of date; saves a scan each tick.
+    std::optional<VmId> asked;      ///< Peer with an outstanding pull.
     TimePoint askedAt;
     TimePoint nextPull;
     unsigned pullFailures = 0;
+    TimePoint nextStartRound;
     std::set<VmId> startAsked;    ///< Peers asked for their version at the start.
     std::set<VmId> startAnswered; ///< Those that answered.
   };
@@ -119,21 +124,26 @@
   Duration Backoff(unsigned aFailures);
   void ElectWatchers();
   void StepStore(Now aNow, ListName aList);
-  void StepPull(Now aNow, ListName aList);
   void StepStart(Now aNow, ListName aList);
+  void StepPull(Now aNow, ListName aList);
+  /// Without an answer of the store: a peer that has all other lists holds no version of this one.
+  bool AbsentAtPeers(ListName aList) const;
+  void Settle(Now aNow, ListName aList);
+  void CallStore(Now aNow, ListName aList, StoreCall::Kind aKind);
   void OnStoreFailure(Now aNow, List& aState);
-  void OnContent(ListName aList, ListVersion aVersion, const std::string& aContent);
-  const Peer* ChoosePeer(ListName aList, const std::optional<VmId>& aExcept);
-  bool StartWaitOver(Now aNow, const List& aState) const;
+  void TakeContent(ListName aList, ListVersion aVersion, const std::string& aContent);
+  bool Offers(const Peer& aPeer, ListName aList) const;
+  const Peer* ChoosePeer(ListName aList);
+  int Distance(const Vm& aVm) const;
 
   ListKeeperOptions options_;
   ListKeeperHooks hooks_;
   Random random_;
   std::array<List, kListCount> state_;
-  std::map<VmId, Peer> peers_;
+  std::map<VmId, Peer> peers_; ///< Live members.
   std::shared_ptr<const FleetLists> lists_;
   bool electionDue_ = true;
-  TimePoint startedAt_;
+  std::optional<TimePoint> firstPeerAt_;
 };
 
 } // namespace dfm
--- a/include/dragonflymoor/Membership/Membership.h
+++ b/include/dragonflymoor/Membership/Membership.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace dfm {
@@ -33,8 +34,11 @@
   size_t indirectProbes = 3;
   /// A suspicion lasts this many periods times max(1, log10(members)).
   double suspicionPeriods = 5;
-  /// A dead or unconfirmed member is probed again this often.
+  /// A dead member, or one that only the platform's list names, is probed this often, at most two
+  /// in each period.
   Duration deadProbePeriod = 5s;
+  /// A dead member is kept at least this long, so that updates still on their way don't revive it.
+  Duration forgetAfter = 60s;
   /// Whole lists are exchanged with one random member this often, for up to 32 members; for n
   /// members the period is n / 32 times as long, so that bytes per second stay constant.
   Duration syncPeriod = 30s;
@@ -113,70 +117,83 @@
   struct Member
   {
     MemberUpdate update;
-    TimePoint suspectedAt;             ///< Valid while suspect.
-    TimePoint lastDeadProbe;           ///< Last probe while dead.
-    TimePoint diedAt;                  ///< Valid while dead or left.
-    std::optional<unsigned> transmits; ///< How often the update was sent; empty when not queued.
+    TimePoint suspectedAt; ///< Valid while suspect.
+    TimePoint endedAt;     ///< Valid while dead or left.
+    /// How often the update was passed on; empty when that is done.
+    std::optional<unsigned> transmits;
+    std::vector<Incarnation> superseded; ///< Earlier runs, the latest last.
+    /// A run that counts as earlier was heard; it may be the later one, with a clock that went
+    /// back.
+    bool contradicted = false;
   };
+  /// A probe that waits for its acknowledgement.
   struct Outstanding
   {
     VmId target;
     TimePoint sentAt;
     bool indirectSent = false;
-    bool verdict = true; ///< False for probes of dead members, candidates and seeds.
+    bool verdict = true; ///< A lost answer makes the target suspect.
   };
+  /// A probe on behalf of another VM.
   struct Relay
   {
     uint64_t nonce = 0; ///< Of the VM that asked.
     Endpoint asker;
     TimePoint sentAt;
   };
+  /// A dead member, or a VM of the platform's list that was never heard.
+  struct Lost
+  {
+    Vm vm;
+    TimePoint nextProbe;
+  };
 
-  uint64_t NextNonce() { return random_.Next(); }
-  std::vector<MemberUpdate> Piggyback(const VmId* aReceiver);
+  std::vector<MemberUpdate> Piggyback(const VmId& aReceiver);
   void SendProbe(Now aNow, const VmId& aTarget, const Endpoint& aEndpoint, bool aVerdict);
+  void SendIndirect(Now aNow, uint64_t aNonce, const VmId& aTarget);
   void ProbeNext(Now aNow);
   void ProbeLost(Now aNow);
+  void ProbeSeeds(Now aNow);
   void CheckOutstanding(Now aNow);
   void CheckSuspicions(Now aNow);
-  void SendIndirect(Now aNow, uint64_t aNonce, const VmId& aTarget);
+  void ForgivePause(Now aNow, Duration aStep);
+  std::vector<const Vm*> RandomLive(size_t aCount, const VmId& aExcept);
   void SyncWith(Now aNow, const Vm& aVm);
-  void SyncRandom(Now aNow);
+  MemberSync MakeSync(bool aWantsReply) const;
+  Duration SyncPeriod() const;
+  void OnProbe(Now aNow, const Endpoint& aFrom, const Probe& aProbe);
   void OnAck(Now aNow, const ProbeAck& aAck);
-  void Apply(Now aNow, const MemberUpdate& aUpdate);
-  void ApplyAll(Now aNow, const std::vector<MemberUpdate>& aUpdates);
+  void OnIndirectProbe(Now aNow, const Endpoint& aFrom, const IndirectProbe& aProbe);
+  void ApplyAll(Now aNow, const std::vector<MemberUpdate>& aUpdates, bool aPassOn);
   void ApplySelf(const MemberUpdate& aUpdate);
   void ApplyKnown(Now aNow, Member& aMember, const MemberUpdate& aUpdate);
-  void Add(Now aNow, const MemberUpdate& aUpdate);
-  void SetState(Now aNow, Member& aMember, MemberState aState);
+  void Add(Now aNow, const MemberUpdate& aUpdate, bool aPassOn);
+  /// Follows up a change of aMember's update; aBefore is the update it replaced.
+  void Changed(Now aNow, Member& aMember, const MemberUpdate& aBefore);
+  void MakeState(Now aNow, Member& aMember, MemberState aState);
   void Enqueue(Member& aMember);
-  void Changed(const Member& aMember);
+  void Dequeue(Member& aMember);
   unsigned TransmitLimit() const;
   Duration SuspicionTimeout() const;
-  size_t LiveCount() const { return liveCount_; }
 
   MembershipOptions options_;
   MembershipHooks hooks_;
   Random random_;
   MemberUpdate self_;
   std::map<VmId, Member> members_;
-  std::map<VmId, Vm> candidates_; ///< From the platform's list, not yet heard.
-  std::map<VmId, TimePoint> candidateProbed_;
-  std::set<VmId> platform_; ///< VMs of the platform's latest list.
+  std::map<VmId, Lost> lost_;
+  VmId lostCursor_;
   std::vector<VmId> probeOrder_;
   size_t probeIndex_ = 0;
   std::unordered_map<uint64_t, Outstanding> outstanding_;
   std::unordered_map<uint64_t, Relay> relays_;
-  std::set<VmId> queue_;    ///< Members whose update is to be passed on.
-  std::set<VmId> suspects_; ///< Members in state suspect.
-  std::set<VmId> dead_;     ///< Members in state dead.
-  VmId lostCursor_;
-  size_t liveCount_ = 0;
-  unsigned selfTransmits_ = 0;
+  std::set<std::pair<unsigned, VmId>> queue_; ///< Updates to pass on, by number of transmits.
+  std::set<VmId> suspects_;
+  size_t liveCount_ = 0; ///< Other members that are alive or suspect.
   std::optional<TimePoint> lastTick_;
   TimePoint nextProbe_;
   TimePoint nextSync_;
-  TimePoint nextSeed_;
+  TimePoint nextSeedProbe_;
   bool synced_ = false; ///< A member list has arrived from a peer.
   std::optional<TimePoint> lastAck_;
   std::map<RegionId, double> roundTripSeconds_;
--- /dev/null
+++ b/lib/Membership/Membership.cpp
@@ -0,0 +1,729 @@
+#include "dragonflymoor/Membership/Membership.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+namespace dfm {
+
+namespace {
+
+// Each update is passed on this many times log10(members + 1), rounded up.
+constexpr double kTransmitFactor = 8;
+// Dead members and unheard candidates probed in one period; bounds the traffic while a whole region
+// is unreachable.
+constexpr size_t kLostProbesPerPeriod = 2;
+constexpr Duration kSeedPeriod = 1s;
+// Up to this number of members the sync period is not stretched.
+constexpr size_t kSyncMembers = 32;
+constexpr size_t kLeaveMessages = 5;
+constexpr size_t kMaxSuperseded = 4;
+// Weight of the latest round trip in the mean of its region.
+constexpr double kRoundTripWeight = 0.2;
+
+// Sizes of the FlatBuffers encoding, rounded up: tables, offsets and vtables of a message, and of
+// one update without the bytes of its strings.
+constexpr size_t kMessageBytes = 120;
+constexpr size_t kUpdateBytes = 256;
+
+bool
+IsLive(MemberState aState)
+{
+  return aState == MemberState::Alive || aState == MemberState::Suspect;
+}
+
+/// Order of two runs of the same VM; the higher one is the later run.
+auto
+RunOrder(const MemberUpdate& aUpdate)
+{
+  return std::tuple(aUpdate.startedAtMs, aUpdate.incarnation.value);
+}
+
+size_t
+EncodedSizeBound(const MemberUpdate& aUpdate)
+{
+  const Vm& vm = aUpdate.vm;
+  return kUpdateBytes + vm.id.Value().size() + vm.region.Value().size() +
+         vm.failureDomain.Value().size() + vm.callers.address.size() + vm.peers.address.size();
+}
+
+void
+RaiseVersions(std::array<ListVersion, kListCount>& aVersions,
+              const std::array<ListVersion, kListCount>& aNew)
+{
+  for (size_t i = 0; i < kListCount; ++i)
+    aVersions[i] = std::max(aVersions[i], aNew[i]);
+}
+
+} // namespace
+
+size_t
+EncodedSizeBound(const DatagramMessage& aMessage)
+{
+  size_t bytes = kMessageBytes;
+  std::visit(
+    [&](const auto& aMember) {
+      for (const MemberUpdate& update : aMember.updates)
+        bytes += EncodedSizeBound(update);
+    },
+    aMessage);
+  if (const auto* indirect = std::get_if<IndirectProbe>(&aMessage))
+    bytes += indirect->target.Value().size();
+  return bytes;
+}
+
+Membership::Membership(MembershipOptions aOptions, MembershipHooks aHooks)
+  : options_(std::move(aOptions))
+  , hooks_(std::move(aHooks))
+  , random_(options_.randomSeed)
+{
+  assert(hooks_.sendDatagram && hooks_.sendStream && hooks_.memberChanged && hooks_.acked &&
+         "hook is not set");
+  assert(options_.ackTimeout < options_.probePeriod && "acknowledgement timeout above the period");
+  self_.vm = options_.self;
+  self_.incarnation = options_.incarnation;
+  self_.startedAtMs = options_.startedAtMs;
+}
+
+void
+Membership::Start(Now aNow)
+{
+  lastTick_ = aNow.monotonic;
+  nextProbe_ = aNow.monotonic + random_.Between(Duration(0), options_.probePeriod);
+  nextSync_ = aNow.monotonic + random_.Between(Duration(0), options_.syncPeriod);
+  nextSeedProbe_ = aNow.monotonic;
+  ProbeSeeds(aNow);
+}
+
+void
+Membership::OnTick(Now aNow)
+{
+  const Duration step = lastTick_ ? aNow.monotonic - *lastTick_ : Duration(0);
+  lastTick_ = aNow.monotonic;
+  if (step > options_.probePeriod)
+    ForgivePause(aNow, step);
+  CheckOutstanding(aNow);
+  CheckSuspicions(aNow);
+  ProbeSeeds(aNow);
+  if (aNow.monotonic >= nextSync_) {
+    nextSync_ = aNow.monotonic + SyncPeriod();
+    for (const Vm* vm : RandomLive(1, VmId()))
+      SyncWith(aNow, *vm);
+  }
+  if (aNow.monotonic < nextProbe_)
+    return;
+  nextProbe_ = std::max(nextProbe_ + options_.probePeriod, aNow.monotonic);
+  ProbeNext(aNow);
+  ProbeLost(aNow);
+}
+
+void
+Membership::ForgivePause(Now aNow, Duration aStep)
+{
+  outstanding_.clear();
+  // A suspicion that arrived after the pause, before this tick, started just now.
+  for (const VmId& id : suspects_) {
+    TimePoint& suspectedAt = members_.at(id).suspectedAt;
+    suspectedAt = std::min(suspectedAt + aStep, aNow.monotonic);
+  }
+}
+
+Duration
+Membership::SyncPeriod() const
+{
+  const double factor =
+    std::max(1.0, static_cast<double>(members_.size()) / static_cast<double>(kSyncMembers));
+  return FromSeconds(ToSeconds(options_.syncPeriod) * factor);
+}
+
+Duration
+Membership::SuspicionTimeout() const
+{
+  const double scale = std::max(1.0, std::log10(static_cast<double>(liveCount_ + 1)));
+  return FromSeconds(ToSeconds(options_.probePeriod) * options_.suspicionPeriods * scale);
+}
+
+unsigned
+Membership::TransmitLimit() const
+{
+  return static_cast<unsigned>(
+    std::ceil(kTransmitFactor * std::log10(static_cast<double>(liveCount_ + 2))));
+}
+
+std::vector<MemberUpdate>
+Membership::Piggyback(const VmId& aReceiver)
+{
+  std::vector<MemberUpdate> updates{ self_ };
+  size_t bytes = kMessageBytes + EncodedSizeBound(self_) + aReceiver.Value().size();
+  const auto add = [&](const MemberUpdate& aUpdate) {
+    const size_t size = EncodedSizeBound(aUpdate);
+    if (bytes + size > kMaxDatagramBytes || updates.size() > options_.maxPiggyback)
+      return false;
+    bytes += size;
+    updates.push_back(aUpdate);
+    return true;
+  };
+  // A VM that is taken for suspect, dead or an earlier run must learn it, so that it can refute.
+  const auto receiver = members_.find(aReceiver);
+  if (receiver != members_.end() &&
+      (receiver->second.update.state != MemberState::Alive || receiver->second.contradicted)) {
+    add(receiver->second.update);
+    receiver->second.contradicted = false;
+  }
+
+  std::vector<VmId> sent;
+  for (const auto& [transmits, id] : queue_) {
+    if (id == aReceiver)
+      continue;
+    if (!add(members_.at(id).update))
+      break;
+    sent.push_back(id);
+  }
+  for (const VmId& id : sent) {
+    Member& member = members_.at(id);
+    const unsigned transmits = *member.transmits + 1;
+    Dequeue(member);
+    if (transmits >= TransmitLimit())
+      continue;
+    member.transmits = transmits;
+    queue_.emplace(transmits, id);
+  }
+  return updates;
+}
+
+void
+Membership::Enqueue(Member& aMember)
+{
+  Dequeue(aMember);
+  aMember.transmits = 0;
+  queue_.emplace(0, aMember.update.vm.id);
+}
+
+void
+Membership::Dequeue(Member& aMember)
+{
+  if (aMember.transmits)
+    queue_.erase({ *aMember.transmits, aMember.update.vm.id });
+  aMember.transmits.reset();
+}
+
+void
+Membership::SendProbe(Now aNow, const VmId& aTarget, const Endpoint& aEndpoint, bool aVerdict)
+{
+  const uint64_t nonce = random_.Next();
+  outstanding_[nonce] = { .target = aTarget, .sentAt = aNow.monotonic, .verdict = aVerdict };
+  hooks_.sendDatagram(aEndpoint, Probe{ .nonce = nonce, .updates = Piggyback(aTarget) });
+}
+
+void
+Membership::ProbeNext(Now aNow)
+{
+  // At most one round: every member of the order may be dead.
+  for (size_t i = 0; i <= probeOrder_.size(); ++i) {
+    if (probeIndex_ >= probeOrder_.size()) {
+      probeOrder_.clear();
+      for (const auto& [id, member] : members_) {
+        if (IsLive(member.update.state))
+          probeOrder_.push_back(id);
+      }
+      for (size_t j = probeOrder_.size(); j > 1; --j)
+        std::swap(probeOrder_[j - 1], probeOrder_[random_.Below(j)]);
+      probeIndex_ = 0;
+      if (probeOrder_.empty())
+        return;
+    }
+    const auto member = members_.find(probeOrder_[probeIndex_++]);
+    if (member == members_.end() || !IsLive(member->second.update.state))
+      continue;
+    SendProbe(aNow, member->first, member->second.update.vm.peers, true);
+    return;
+  }
+}
+
+void
+Membership::ProbeLost(Now aNow)
+{
+  size_t sent = 0;
+  auto next = lost_.upper_bound(lostCursor_);
+  for (size_t i = lost_.size(); i > 0 && sent < kLostProbesPerPeriod; --i, ++next) {
+    if (next == lost_.end())
+      next = lost_.begin();
+    if (aNow.monotonic < next->second.nextProbe)
+      continue;
+    next->second.nextProbe = aNow.monotonic + options_.deadProbePeriod;
+    lostCursor_ = next->first;
+    SendProbe(aNow, next->first, next->second.vm.peers, false);
+    ++sent;
+  }
+}
+
+void
+Membership::ProbeSeeds(Now aNow)
+{
+  if ((synced_ && liveCount_ > 0) || aNow.monotonic < nextSeedProbe_)
+    return;
+  nextSeedProbe_ = aNow.monotonic + kSeedPeriod;
+  for (const Endpoint& seed : options_.seeds) {
+    if (seed != self_.vm.peers)
+      SendProbe(aNow, VmId(), seed, false);
+  }
+}
+
+std::vector<const Vm*>
+Membership::RandomLive(size_t aCount, const VmId& aExcept)
+{
+  // Reservoir sample, because the live members are not stored contiguously.
+  std::vector<const Vm*> chosen;
+  size_t seen = 0;
+  for (const auto& [id, member] : members_) {
+    if (!IsLive(member.update.state) || id == aExcept)
+      continue;
+    ++seen;
+    if (chosen.size() < aCount) {
+      chosen.push_back(&member.update.vm);
+      continue;
+    }
+    const size_t place = random_.Below(seen);
+    if (place < aCount)
+      chosen[place] = &member.update.vm;
+  }
+  return chosen;
+}
+
+void
+Membership::SendIndirect(Now /*aNow*/, uint64_t aNonce, const VmId& aTarget)
+{
+  for (const Vm* vm : RandomLive(options_.indirectProbes, aTarget))
+    hooks_.sendDatagram(
+      vm->peers, IndirectProbe{ .nonce = aNonce, .target = aTarget, .updates = Piggyback(vm->id) });
+}
+
+void
+Membership::CheckOutstanding(Now aNow)
+{
+  std::vector<VmId> unanswered;
+  for (auto entry = outstanding_.begin(); entry != outstanding_.end();) {
+    Outstanding& probe = entry->second;
+    const Duration age = aNow.monotonic - probe.sentAt;
+    if (probe.verdict && !probe.indirectSent && age >= options_.ackTimeout) {
+      probe.indirectSent = true;
+      SendIndirect(aNow, entry->first, probe.target);
+    }
+    // Indirect answers get a whole period.
+    if (age < options_.ackTimeout + options_.probePeriod) {
+      ++entry;
+      continue;
+    }
+    if (probe.verdict)
+      unanswered.push_back(probe.target);
+    entry = outstanding_.erase(entry);
+  }
+  for (const VmId& id : unanswered) {
+    const auto member = members_.find(id);
+    if (member != members_.end() && member->second.update.state == MemberState::Alive)
+      MakeState(aNow, member->second, MemberState::Suspect);
+  }
+  std::erase_if(relays_, [&](const auto& aEntry) {
+    return aNow.monotonic - aEntry.second.sentAt > 2 * options_.probePeriod;
+  });
+}
+
+void
+Membership::CheckSuspicions(Now aNow)
+{
+  std::vector<VmId> expired;
+  for (const VmId& id : suspects_) {
+    if (aNow.monotonic - members_.at(id).suspectedAt >= SuspicionTimeout())
+      expired.push_back(id);
+  }
+  for (const VmId& id : expired)
+    MakeState(aNow, members_.at(id), MemberState::Dead);
+}
+
+void
+Membership::MakeState(Now aNow, Member& aMember, MemberState aState)
+{
+  const MemberUpdate before = aMember.update;
+  aMember.update.state = aState;
+  Changed(aNow, aMember, before);
+  Enqueue(aMember);
+}
+
+void
+Membership::Changed(Now aNow, Member& aMember, const MemberUpdate& aBefore)
+{
+  const MemberUpdate& update = aMember.update;
+  const VmId& id = update.vm.id;
+  const bool wasLive = IsLive(aBefore.state);
+  const bool live = IsLive(update.state);
+  liveCount_ = liveCount_ + (live ? 1 : 0) - (wasLive ? 1 : 0);
+  if (live != wasLive || update.leaving != aBefore.leaving || update.vm != aBefore.vm)
+    ++epoch_;
+  if (update.state == MemberState::Suspect &&
+      (aBefore.state != MemberState::Suspect || update.sequence != aBefore.sequence)) {
+    aMember.suspectedAt = aNow.monotonic;
+    suspects_.insert(id);
+  }
+  if (update.state != MemberState::Suspect)
+    suspects_.erase(id);
+  if (update.state == MemberState::Dead)
+    lost_[id] = { .vm = update.vm, .nextProbe = aNow.monotonic + options_.deadProbePeriod };
+  else
+    lost_.erase(id);
+  if (!live && wasLive)
+    aMember.endedAt = aNow.monotonic;
+  hooks_.memberChanged(update);
+}
+
+void
+Membership::Add(Now aNow, const MemberUpdate& aUpdate, bool aPassOn)
+{
+  Member& member = members_[aUpdate.vm.id];
+  member.update = aUpdate;
+  // A place at random keeps the time until the first probe bounded by one round.
+  probeOrder_.insert(probeOrder_.begin() +
+                       static_cast<std::ptrdiff_t>(
+                         probeIndex_ + random_.Below(probeOrder_.size() - probeIndex_ + 1)),
+                     aUpdate.vm.id);
+  MemberUpdate before = aUpdate;
+  before.state = MemberState::Dead;
+  Changed(aNow, member, before);
+  if (aPassOn)
+    Enqueue(member);
+}
+
+void
+Membership::ApplySelf(const MemberUpdate& aUpdate)
+{
+  if (aUpdate.incarnation == self_.incarnation) {
+    // Refutation: a statement about this run is overruled by a higher sequence.
+    if (aUpdate.state != MemberState::Alive && aUpdate.sequence >= self_.sequence &&
+        self_.state != MemberState::Left)
+      self_.sequence = aUpdate.sequence + 1;
+    return;
+  }
+  // The wall clock went back between two runs: without this the others would ignore this run.
+  if (RunOrder(aUpdate) > RunOrder(self_) &&
+      aUpdate.startedAtMs < std::numeric_limits<uint64_t>::max())
+    self_.startedAtMs = aUpdate.startedAtMs + 1;
+}
+
+void
+Membership::ApplyKnown(Now aNow, Member& aMember, const MemberUpdate& aUpdate)
+{
+  const MemberUpdate before = aMember.update;
+  MemberUpdate& current = aMember.update;
+  if (aUpdate.incarnation != current.incarnation) {
+    if (RunOrder(aUpdate) < RunOrder(current)) {
+      aMember.contradicted = true;
+      return;
+    }
+    aMember.superseded.push_back(current.incarnation);
+    if (aMember.superseded.size() > kMaxSuperseded)
+      aMember.superseded.erase(aMember.superseded.begin());
+    current = aUpdate;
+    Changed(aNow, aMember, before);
+    Enqueue(aMember);
+    return;
+  }
+  RaiseVersions(current.listVersions, aUpdate.listVersions);
+  current.startedAtMs = std::max(current.startedAtMs, aUpdate.startedAtMs);
+  const bool news =
+    before.state != MemberState::Left &&
+    (aUpdate.state == MemberState::Left ||
+     std::tuple(aUpdate.sequence, aUpdate.state) > std::tuple(before.sequence, before.state));
+  if (news) {
+    current.vm = aUpdate.vm;
+    current.sequence = std::max(aUpdate.sequence, before.sequence);
+    current.state = aUpdate.state;
+    current.leaving = before.leaving || aUpdate.leaving;
+  }
+  if (current == before)
+    return;
+  Changed(aNow, aMember, before);
+  // Versions are not passed on: each VM carries its own, and a change of a list would otherwise
+  // cost one update for each member.
+  if (news)
+    Enqueue(aMember);
+}
+
+void
+Membership::ApplyAll(Now aNow, const std::vector<MemberUpdate>& aUpdates, bool aPassOn)
+{
+  for (const MemberUpdate& update : aUpdates) {
+    if (update.vm.id.Empty())
+      continue;
+    if (update.vm.id == self_.vm.id) {
+      ApplySelf(update);
+      continue;
+    }
+    const auto known = members_.find(update.vm.id);
+    if (known != members_.end())
+      ApplyKnown(aNow, known->second, update);
+    else if (IsLive(update.state))
+      Add(aNow, update, aPassOn);
+  }
+}
+
+void
+Membership::OnDatagram(Now aNow, const Endpoint& aFrom, const DatagramMessage& aMessage)
+{
+  if (const auto* probe = std::get_if<Probe>(&aMessage))
+    OnProbe(aNow, aFrom, *probe);
+  else if (const auto* ack = std::get_if<ProbeAck>(&aMessage))
+    OnAck(aNow, *ack);
+  else
+    OnIndirectProbe(aNow, aFrom, std::get<IndirectProbe>(aMessage));
+}
+
+void
+Membership::OnProbe(Now aNow, const Endpoint& aFrom, const Probe& aProbe)
+{
+  if (aProbe.updates.empty())
+    return;
+  ApplyAll(aNow, aProbe.updates, true);
+  const VmId& sender = aProbe.updates.front().vm.id;
+  hooks_.sendDatagram(aFrom, ProbeAck{ .nonce = aProbe.nonce, .updates = Piggyback(sender) });
+}
+
+void
+Membership::OnIndirectProbe(Now aNow, const Endpoint& aFrom, const IndirectProbe& aProbe)
+{
+  ApplyAll(aNow, aProbe.updates, true);
+  const auto target = members_.find(aProbe.target);
+  if (target == members_.end())
+    return;
+  const uint64_t nonce = random_.Next();
+  relays_[nonce] = { .nonce = aProbe.nonce, .asker = aFrom, .sentAt = aNow.monotonic };
+  hooks_.sendDatagram(target->second.update.vm.peers,
+                      Probe{ .nonce = nonce, .updates = Piggyback(aProbe.target) });
+}
+
+void
+Membership::OnAck(Now aNow, const ProbeAck& aAck)
+{
+  ApplyAll(aNow, aAck.updates, true);
+  const auto relay = relays_.find(aAck.nonce);
+  if (relay != relays_.end()) {
+    hooks_.sendDatagram(relay->second.asker,
+                        ProbeAck{ .nonce = relay->second.nonce, .updates = aAck.updates });
+    relays_.erase(relay);
+    return;
+  }
+  const auto entry = outstanding_.find(aAck.nonce);
+  if (entry == outstanding_.end())
+    return;
+  const Outstanding probe = entry->second;
+  outstanding_.erase(entry);
+  lastAck_ = std::max(lastAck_.value_or(probe.sentAt), probe.sentAt);
+  hooks_.acked(probe.sentAt);
+  if (aAck.updates.empty())
+    return;
+  const Vm& sender = aAck.updates.front().vm;
+  if (!probe.indirectSent) {
+    const double seconds = ToSeconds(aNow.monotonic - probe.sentAt);
+    const auto [mean, first] = roundTripSeconds_.emplace(sender.region, seconds);
+    if (!first)
+      mean->second += kRoundTripWeight * (seconds - mean->second);
+  }
+  if (!synced_ && members_.contains(sender.id))
+    SyncWith(aNow, sender);
+}
+
+void
+Membership::SyncWith(Now aNow, const Vm& aVm)
+{
+  nextSync_ = aNow.monotonic + SyncPeriod();
+  hooks_.sendStream(aVm, MakeSync(true));
+}
+
+MemberSync
+Membership::MakeSync(bool aWantsReply) const
+{
+  MemberSync sync{ .wantsReply = aWantsReply, .members = { self_ } };
+  sync.members.reserve(members_.size() + 1);
+  for (const auto& [id, member] : members_)
+    sync.members.push_back(member.update);
+  return sync;
+}
+
+void
+Membership::OnSync(Now aNow, const VmId& aFrom, const MemberSync& aSync)
+{
+  // New members in a sync are known to the sender already; passing each one on would flood the
+  // fleet whenever a VM starts. The sender itself is passed on.
+  for (const MemberUpdate& update : aSync.members)
+    ApplyAll(aNow, { update }, update.vm.id == aFrom);
+  synced_ = synced_ || !aSync.wantsReply;
+  const auto sender = members_.find(aFrom);
+  if (aSync.wantsReply && sender != members_.end())
+    hooks_.sendStream(sender->second.update.vm, MakeSync(false));
+}
+
+void
+Membership::OnVmList(Now aNow, const std::vector<PlatformVm>& aVms)
+{
+  std::set<VmId> listed;
+  for (const PlatformVm& entry : aVms) {
+    listed.insert(entry.vm.id);
+    if (entry.vm.id != self_.vm.id && !members_.contains(entry.vm.id))
+      lost_.try_emplace(entry.vm.id, Lost{ .vm = entry.vm, .nextProbe = aNow.monotonic });
+  }
+  std::erase_if(lost_, [&](const auto& aEntry) {
+    return !listed.contains(aEntry.first) && !members_.contains(aEntry.first);
+  });
+  for (auto entry = members_.begin(); entry != members_.end();) {
+    Member& member = entry->second;
+    if (IsLive(member.update.state) || listed.contains(entry->first) ||
+        aNow.monotonic - member.endedAt < options_.forgetAfter) {
+      ++entry;
+      continue;
+    }
+    Dequeue(member);
+    lost_.erase(entry->first);
+    member.update.state = MemberState::Left;
+    hooks_.memberChanged(member.update);
+    entry = members_.erase(entry);
+  }
+}
+
+void
+Membership::SetLeaving(Now /*aNow*/)
+{
+  if (self_.leaving)
+    return;
+  self_.leaving = true;
+  ++self_.sequence;
+  ++epoch_;
+}
+
+void
+Membership::Leave(Now /*aNow*/)
+{
+  self_.leaving = true;
+  self_.state = MemberState::Left;
+  ++self_.sequence;
+  ++epoch_;
+  for (const Vm* vm : RandomLive(kLeaveMessages, VmId()))
+    hooks_.sendDatagram(vm->peers, Probe{ .nonce = random_.Next(), .updates = Piggyback(vm->id) });
+}
+
+void
+Membership::SetListVersions(const std::array<ListVersion, kListCount>& aVersions)
+{
+  RaiseVersions(self_.listVersions, aVersions);
+}
+
+std::vector<MemberUpdate>
+Membership::Members() const
+{
+  std::vector<MemberUpdate> members;
+  members.reserve(members_.size());
+  for (const auto& [id, member] : members_)
+    members.push_back(member.update);
+  return members;
+}
+
+std::vector<MemberUpdate>
+Membership::Live() const
+{
+  std::vector<MemberUpdate> live;
+  live.reserve(liveCount_ + 1);
+  for (const auto& [id, member] : members_) {
+    if (IsLive(member.update.state))
+      live.push_back(member.update);
+  }
+  const auto place = std::lower_bound(
+    live.begin(), live.end(), self_.vm.id, [](const MemberUpdate& aUpdate, const VmId& aId) {
+      return aUpdate.vm.id < aId;
+    });
+  if (self_.state != MemberState::Left)
+    live.insert(place, self_);
+  return live;
+}
+
+std::vector<Vm>
+Membership::LiveNotLeaving() const
+{
+  std::vector<Vm> vms;
+  for (const MemberUpdate& update : Live()) {
+    if (!update.leaving)
+      vms.push_back(update.vm);
+  }
+  return vms;
+}
+
+const MemberUpdate*
+Membership::Find(const VmId& aVm) const
+{
+  if (aVm == self_.vm.id)
+    return &self_;
+  const auto member = members_.find(aVm);
+  return member == members_.end() ? nullptr : &member->second.update;
+}
+
+InstanceState
+Membership::StateOf(const VmInstance& aInstance) const
+{
+  const MemberUpdate* update = Find(aInstance.vm);
+  if (update == nullptr)
+    return InstanceState::Unknown;
+  if (update->incarnation == aInstance.incarnation) {
+    switch (update->state) {
+      case MemberState::Alive:
+        return InstanceState::Alive;
+      case MemberState::Suspect:
+        return InstanceState::Suspect;
+      case MemberState::Dead:
+        return InstanceState::Dead;
+      case MemberState::Left:
+        return InstanceState::Left;
+    }
+  }
+  // This run replaced every other run of this VM.
+  if (aInstance.vm == self_.vm.id)
+    return InstanceState::Dead;
+  const auto& superseded = members_.at(aInstance.vm).superseded;
+  const bool earlier =
+    std::find(superseded.begin(), superseded.end(), aInstance.incarnation) != superseded.end();
+  return earlier ? InstanceState::Dead : InstanceState::Unknown;
+}
+
+ListVersion
+Membership::ConfirmedRosterVersion(const std::vector<Vm>& aRoster) const
+{
+  ListVersion confirmed = self_.listVersions[static_cast<size_t>(ListName::Roster)];
+  for (const Vm& vm : aRoster) {
+    const MemberUpdate* update = Find(vm.id);
+    const ListVersion version =
+      update == nullptr ? 0 : update->listVersions[static_cast<size_t>(ListName::Roster)];
+    confirmed = std::min(confirmed, version);
+  }
+  return confirmed;
+}
+
+std::vector<RegionId>
+Membership::RegionsByLatency() const
+{
+  std::map<RegionId, double> regions;
+  for (const auto& [id, member] : members_) {
+    const RegionId& region = member.update.vm.region;
+    if (region == self_.vm.region || regions.contains(region))
+      continue;
+    const auto measured = roundTripSeconds_.find(region);
+    regions[region] =
+      measured == roundTripSeconds_.end() ? std::numeric_limits<double>::max() : measured->second;
+  }
+  std::vector<RegionId> names;
+  names.reserve(regions.size());
+  for (const auto& [region, seconds] : regions)
+    names.push_back(region);
+  std::stable_sort(names.begin(), names.end(), [&](const RegionId& aLeft, const RegionId& aRight) {
+    return regions.at(aLeft) < regions.at(aRight);
+  });
+  return names;
+}
+
+} // namespace dfm
--- /dev/null
+++ b/unittests/Membership/MembershipTest.cpp
@@ -0,0 +1,213 @@
+#include "../Config/SimulatedFleet.h"
+#include "dragonflymoor/Membership/PauseDetector.h"
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace dfm;
+using namespace dfm::test;
+
+namespace {
+
+// Runs in CI are repeatable; RC_PARAMS in the environment takes precedence.
+[[maybe_unused]] const int kSeed = setenv("RC_PARAMS", "seed=20261204 max_success=150", 0);
+
+// One probe round without an answer (0.3 s after at most a period), the suspicion (1 s), the way of
+// the news, and a margin for a probe that several VMs send late.
+constexpr Duration kDeadBound = 3s;
+// A wrongly dead member is probed again within 5 s; its refutation then spreads.
+constexpr Duration kRecoverBound = 8s;
+
+using Command = std::tuple<uint8_t, uint8_t, uint8_t>;
+
+struct MembershipMachine
+{
+  explicit MembershipMachine(uint64_t aSeed)
+    : fleet(aSeed)
+  {
+    for (size_t i = 0; i < kVmCount; ++i)
+      fleet.Start(i);
+    fleet.RunFor(3s);
+  }
+
+  void Run(const Command& aCommand)
+  {
+    const auto [kind, first, second] = aCommand;
+    const size_t index = first % kVmCount;
+    auto& node = fleet.nodes[index];
+    switch (kind % 8) {
+      case 0:
+        fleet.Kill(index);
+        break;
+      case 1:
+        fleet.Start(index); // Also replaces a running process at once.
+        leaving.erase(index);
+        break;
+      case 2:
+        if (node.running)
+          node.paused = true;
+        break;
+      case 3:
+        fleet.Resume(index);
+        break;
+      case 4:
+        fleet.cuts.insert({ fmt::format("r{}", first % 3), fmt::format("r{}", second % 3) });
+        break;
+      case 5:
+        fleet.HealNetwork();
+        break;
+      case 6:
+        fleet.lossPercent = second % 40;
+        break;
+      default:
+        if (node.running && !node.paused && first % 3 == 0) {
+          node.membership->SetLeaving(fleet.Time());
+          leaving.insert(index);
+        }
+    }
+    fleet.RunFor(Duration(second * 20'000));
+  }
+
+  /// Ends all faults but the deaths.
+  void Heal()
+  {
+    fleet.HealNetwork();
+    for (size_t i = 0; i < kVmCount; ++i)
+      fleet.Resume(i);
+  }
+
+  /// What aNode gets wrong about the fleet; empty when nothing.
+  std::string Wrong(const SimulatedFleet::Node& aNode) const
+  {
+    const auto routable = aNode.membership->LiveNotLeaving();
+    for (size_t i = 0; i < kVmCount; ++i) {
+      const auto& other = fleet.nodes[i];
+      const auto state =
+        aNode.membership->StateOf({ .vm = other.vm.id, .incarnation = other.incarnation });
+      const bool inRoutes = std::find(routable.begin(), routable.end(), other.vm) != routable.end();
+      const std::string pair = aNode.vm.id.Value() + " about " + other.vm.id.Value();
+      if (state != (other.running ? InstanceState::Alive : InstanceState::Dead) &&
+          !(state == InstanceState::Unknown && !other.running))
+        return pair + (other.running ? ": not alive" : ": not dead");
+      if (inRoutes != (other.running && !leaving.contains(i)))
+        return pair + ": wrong in routes";
+    }
+    return {};
+  }
+
+  std::string Wrong() const
+  {
+    for (const auto& node : fleet.nodes) {
+      if (node.running && !Wrong(node).empty())
+        return Wrong(node);
+    }
+    return {};
+  }
+
+  SimulatedFleet fleet;
+  std::set<size_t> leaving;
+};
+
+} // namespace
+
+// Guards against a dead VM that is still used, a live one that stays out after a fault, a restarted
+// one that is taken for its predecessor, and a leaving one in the route table.
+Test(Membership, ConvergesAfterAnyFaults, .timeout = 280)
+{
+  const bool ok = rc::check([](uint64_t aSeed, const std::vector<Command>& aCommands) {
+    MembershipMachine machine(aSeed);
+    RC_ASSERT(machine.Wrong() == "");
+    for (const Command& command : aCommands)
+      machine.Run(command);
+    machine.Heal();
+    if (machine.fleet.Running() == 0)
+      machine.fleet.Start(0);
+    machine.fleet.RunFor(kRecoverBound);
+    RC_ASSERT(machine.Wrong() == "");
+    RC_ASSERT(machine.fleet.faults.empty());
+
+    // From a healthy state a death and a mark as leaving are known within their bounds.
+    const size_t victim = aSeed % kVmCount;
+    const size_t leaver = (victim + 1) % kVmCount;
+    machine.fleet.Kill(victim);
+    if (machine.fleet.nodes[leaver].running) {
+      machine.fleet.nodes[leaver].membership->SetLeaving(machine.fleet.Time());
+      machine.leaving.insert(leaver);
+    }
+    machine.fleet.RunFor(kDeadBound);
+    RC_ASSERT(machine.Wrong() == "");
+  });
+  cr_assert(ok);
+}
+
+// Guards against stale verdicts after a pause of the observer: none of the others may become dead.
+Test(Membership, PausedVmDoesNotDeclareOthersDead)
+{
+  MembershipMachine machine(1);
+  auto& node = machine.fleet.nodes[0];
+  node.paused = true;
+  machine.fleet.RunFor(10s);
+  machine.fleet.Resume(0);
+  for (int i = 0; i < 100; ++i) {
+    machine.fleet.RunFor(kTick);
+    cr_assert(node.membership->Live().size() == kVmCount);
+  }
+  cr_assert(machine.Wrong().empty(), "%s", machine.Wrong().c_str());
+}
+
+// Guards against members that stay forever although the platform has removed them.
+Test(Membership, ForgetsDeadVmsThatThePlatformNoLongerLists)
+{
+  MembershipMachine machine(2);
+  machine.fleet.Kill(1);
+  machine.fleet.RunFor(70s);
+  auto& membership = *machine.fleet.nodes[0].membership;
+  membership.OnVmList(machine.fleet.Time(), { { .vm = machine.fleet.nodes[1].vm } });
+  cr_assert(membership.Members().size() == kVmCount - 1);
+  membership.OnVmList(machine.fleet.Time(), {});
+  cr_assert(membership.Members().size() == kVmCount - 2);
+}
+
+// Guards against a new share that is used before every VM of the roster has confirmed the roster.
+Test(Membership, ConfirmsTheSmallestRosterVersion)
+{
+  MembershipMachine machine(3);
+  std::vector<Vm> roster;
+  for (size_t i = 0; i < kVmCount; ++i) {
+    std::array<ListVersion, kListCount> versions{};
+    versions[static_cast<size_t>(ListName::Roster)] = i == 4 ? 6 : 7;
+    machine.fleet.nodes[i].membership->SetListVersions(versions);
+    roster.push_back(machine.fleet.nodes[i].vm);
+  }
+  const auto& membership = *machine.fleet.nodes[0].membership;
+  cr_assert(membership.ConfirmedRosterVersion(roster) == 0);
+  machine.fleet.RunFor(4s);
+  cr_assert(membership.ConfirmedRosterVersion(roster) == 6);
+  roster.emplace_back().id = VmId("unheard");
+  cr_assert(membership.ConfirmedRosterVersion(roster) == 0);
+}
+
+// Guards against dispatching on an outdated view of the fleet after a pause.
+Test(PauseDetector, HoldsDispatchUntilAFreshAck)
+{
+  PauseDetector detector;
+  const TimePoint start{ 1s };
+  cr_assert(!detector.MayDispatch(start));
+  detector.OnTick(start);
+  cr_assert(detector.MayDispatch(start + 500ms));
+  cr_assert(!detector.MayDispatch(start + 501ms));
+  cr_assert(detector.OnTick(start + 600ms));
+  cr_assert(!detector.MayDispatch(start + 600ms));
+  detector.OnAck(start + 599ms); // Sent before the pause: may have waited in the socket.
+  cr_assert(!detector.MayDispatch(start + 600ms));
+  detector.OnAck(start + 600ms);
+  cr_assert(detector.MayDispatch(start + 600ms));
+
+  detector.OnTick(start + 2s);
+  for (Duration step = 2200ms; step < 4s; step += 200ms) {
+    detector.OnTick(start + step);
+    cr_assert(!detector.MayDispatch(start + step));
+  }
+  detector.OnTick(start + 4s);
+  cr_assert(detector.MayDispatch(start + 4s));
+}
