--- /dev/null
+++ b/include/dragonflymoor/Recovery/HedgePolicy.h
@@ -0,0 +1,106 @@
+#ifndef DRAGONFLYMOOR_RECOVERY_HEDGEPOLICY_H
+#define DRAGONFLYMOOR_RECOVERY_HEDGEPOLICY_H
+
+#include "dragonflymoor/Model/Fleet.h"
+#include "dragonflymoor/Model/Request.h"
+#include "dragonflymoor/Recovery/RetryBudget.h"
+#include "dragonflymoor/Support/Time.h"
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace dfm {
+
+struct HedgePolicyOptions
+{
+  size_t window = 256;     ///< Recent answer times kept for each pool.
+  size_t minSamples = 32;  ///< Fewer answer times say too little about the 95th percentile.
+  Duration minDelay = 2ms; ///< No second attempt earlier than this.
+};
+
+struct HedgePolicyHooks
+{
+  /// Asks for a second attempt on another server; returns it, or nothing when no other server can
+  /// take it now. Must not call the HedgePolicy before it returns.
+  std::function<std::optional<AttemptId>(RequestId)> startSecond;
+  /// Cancels the slower attempt.
+  std::function<void(AttemptId)> cancelAttempt;
+};
+
+/// What remains to be done when an attempt ends.
+enum class HedgeEnd
+{
+  Last,       ///< No other attempt of the request is running: its end decides.
+  Won,        ///< The first complete answer; the other attempt was cancelled.
+  OtherRuns,  ///< This attempt failed but the other one still runs: wait for it.
+  Superseded, ///< The request was already answered: ignore this end.
+};
+
+/// Starts a second attempt of urgent idempotent requests that take longer than the recent 95th
+/// percentile of their pool, within the retry budget. The first complete answer wins and the other
+/// attempt is cancelled. Not thread-safe.
+class HedgePolicy
+{
+public:
+  /// Precondition: every hook is set.
+  HedgePolicy(HedgePolicyOptions aOptions, HedgePolicyHooks aHooks, RetryBudget& aBudget);
+
+  /// A first attempt was started. Only urgent idempotent requests get a second one.
+  void OnStarted(TimePoint aNow,
+                 RequestId aRequest,
+                 AttemptId aAttempt,
+                 const PoolId& aPool,
+                 Rank aRank,
+                 bool aIdempotent,
+                 TimePoint aDeadline);
+
+  /// Any attempt reported to OnStarted or returned by startSecond has ended.
+  HedgeEnd OnEnded(TimePoint aNow, AttemptId aAttempt, AttemptEnd aEnd, Duration aElapsed);
+
+  /// The request ended for another reason. The caller cancels its attempts itself.
+  void OnRequestGone(RequestId aRequest);
+
+  /// Starts the second attempts that are due. Must be called at least every few milliseconds while
+  /// NextDue is set.
+  void OnTick(TimePoint aNow);
+  /// When the next second attempt is due.
+  std::optional<TimePoint> NextDue() const;
+
+  /// Delay before a second attempt in a pool; empty while too little is known.
+  std::optional<Duration> DelayOf(const PoolId& aPool) const;
+
+private:
+  struct Samples
+  {
+    std::vector<Duration> times; ///< Ring of the last answer times.
+    size_t next = 0;
+    std::optional<Duration> percentile;
+  };
+  struct Race
+  {
+    PoolId pool;
+    ServiceId service;
+    std::set<AttemptId> running;
+    std::optional<TimePoint> due;
+    TimePoint deadline;
+  };
+
+  void Record(const PoolId& aPool, Duration aElapsed);
+  void StartSecond(RequestId aRequest);
+  void ClearDue(RequestId aRequest, Race& aRace);
+
+  HedgePolicyOptions options_;
+  HedgePolicyHooks hooks_;
+  RetryBudget& budget_;
+  std::map<PoolId, Samples> samples_;
+  std::map<RequestId, Race> races_;
+  std::map<AttemptId, RequestId> attempts_;
+  std::set<std::pair<TimePoint, RequestId>> due_;
+};
+
+} // namespace dfm
+
+#endif
--- /dev/null
+++ b/include/dragonflymoor/Recovery/RetryPolicy.h
@@ -0,0 +1,91 @@
+#ifndef DRAGONFLYMOOR_RECOVERY_RETRYPOLICY_H
+#define DRAGONFLYMOOR_RECOVERY_RETRYPOLICY_H
+
+#include "dragonflymoor/Model/Request.h"
+#include "dragonflymoor/Recovery/RetryBudget.h"
+#include "dragonflymoor/Support/Time.h"
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace dfm {
+
+struct RetryPolicyOptions
+{
+  /// Further tries after attempts that certainly ran nothing; they do not use the budget.
+  uint32_t maxFreeTries = 3;
+  /// Further tries after attempts that may have run. Two crashes block a fingerprint, so a third
+  /// attempt of this kind is rarely useful.
+  uint32_t maxBudgetTries = 2;
+};
+
+/// What is known of a request when one of its attempts ends.
+struct RetryFacts
+{
+  ServiceId service;
+  bool idempotent = true;
+  TimePoint deadline;
+  Duration expectedTime{};  ///< Usual time of one attempt, with the way to the server.
+  uint32_t freeTries = 0;   ///< Free further tries so far.
+  uint32_t budgetTries = 0; ///< Further tries from the budget so far.
+  bool otherServer = false; ///< A server that the request has not tried can take it.
+  bool blocked = false;     ///< CrashRegistry blocks the fingerprint.
+  bool mayHaveRun = false;  ///< An earlier attempt may have run.
+
+  auto operator<=>(const RetryFacts&) const = default;
+};
+
+enum class RetryAction
+{
+  Accept, ///< The answer goes to the caller.
+  Retry,  ///< Try a server that the request has not tried.
+  GiveUp, ///< The request ends with outcome and reason.
+};
+
+struct RetryDecision
+{
+  RetryAction action = RetryAction::GiveUp;
+  bool usedBudget = false; ///< With Retry: counts as a budget try, else as a free one.
+  Outcome outcome = Outcome::Unknown;
+  Reason reason = Reason::None; ///< With Retry: why the attempt is repeated.
+
+  auto operator<=>(const RetryDecision&) const = default;
+};
+
+/// Whether an attempt that ended so certainly ran nothing. Safe to call from any thread.
+bool
+CertainlyNotRun(AttemptEnd aEnd);
+
+/// Reason that stands for the end of an attempt. Safe to call from any thread.
+Reason
+ReasonOf(AttemptEnd aEnd);
+
+/// Decides what follows the end of an attempt. A request goes to each server at most once; a
+/// request that is not idempotent is repeated only when no attempt can have run. Not thread-safe.
+class RetryPolicy
+{
+public:
+  RetryPolicy(RetryPolicyOptions aOptions, RetryBudget& aBudget);
+
+  RetryDecision Decide(TimePoint aNow, AttemptEnd aEnd, const RetryFacts& aFacts);
+
+  /// The same for a pool owner that answered a forward. Its answers NotOwner, RegionBusy,
+  /// ServerShed and the like with outcome NotRun allow a free try elsewhere.
+  RetryDecision DecideForward(TimePoint aNow,
+                              Outcome aOutcome,
+                              Reason aReason,
+                              const RetryFacts& aFacts);
+
+private:
+  RetryDecision DecideFailed(TimePoint aNow,
+                             bool aCertainlyNotRun,
+                             Reason aReason,
+                             const RetryFacts& aFacts);
+
+  RetryPolicyOptions options_;
+  RetryBudget& budget_;
+};
+
+} // namespace dfm
+
+#endif
