Execute orders at most once

Ruled out: a cached decision after a put without answer, because the put may take effect late; the ledger alone as record, because it is gone with its VM; listing the claims objects for deletion, because the store call interface has no list call. Old windows are therefore deleted by computed name, from two hours back, two a second at most.

Forgotten keys leave a watermark that never decreases, so that neither eviction nor a wall clock that is set back makes a key new again.

--- a/include/dragonflymoor/Orders/ClaimStore.h
+++ b/include/dragonflymoor/Orders/ClaimStore.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +39,7 @@
   /// How far before the end of the grace time the deletion starts on a new VM; objects that nobody
   /// deleted for longer stay in the store.
   Duration deleteBacklog = 2h;
+  Duration keepUnused = 5min; ///< Objects without new claims for this time leave the memory.
   size_t maxObjectBytes = kMaxClaimObjectBytes;
 };
 
@@ -85,8 +88,10 @@
     Claim claim;
     TimePoint deadline;
   };
+  using ObjectKey = std::pair<uint64_t, uint32_t>; ///< Window and shard.
   struct Object
   {
+    ObjectKey key;
     std::string name;
     uint64_t version = 0;
     bool versionKnown = false; ///< False at first, after conflicts and after lost answers.
@@ -98,11 +103,12 @@
     TimePoint callDeadline;
     TimePoint nextPut;
     TimePoint nextCall;
+    TimePoint lastUse;
     Duration retryDelay{};
   };
-  using ObjectKey = std::pair<uint64_t, uint32_t>; ///< Window and shard.
 
   void Pump(Now aNow, Object& aObject);
+  void StartCall(Now aNow, Object& aObject, const StoreCall& aCall);
   void StartGet(Now aNow, Object& aObject);
   void StartPut(Now aNow, Object& aObject);
   void OnGetResult(Now aNow, Object& aObject, const StoreResult& aResult);
@@ -110,7 +116,9 @@
   void OnNoAnswer(Now aNow, Object& aObject);
   void DecideKnown(Now aNow, Object& aObject);
   void FailExpired(Now aNow, Object& aObject);
-  void FailAll(Now aNow, Object& aObject);
+  static std::vector<ClaimTicket> TakeWhere(Object& aObject,
+                                            const std::function<bool(const Pending&)>& aPredicate);
+  void Fail(Now aNow, const std::vector<ClaimTicket>& aTickets);
   void DropOldObjects(Now aNow);
   void DeleteOldWindows(Now aNow);
 
@@ -119,7 +127,8 @@
   std::map<ObjectKey, Object> objects_;
   std::map<StoreCallId, ObjectKey> calls_;
   std::map<uint32_t, uint64_t> nextDeletion_; ///< By shard: the oldest window not yet deleted.
-  std::map<StoreCallId, ObjectKey> deletions_;
+  uint32_t nextDeleteShard_ = 0;
+  std::set<StoreCallId> deletions_; ///< Calls whose result does not matter.
   TimePoint nextDeleteAt_;
 };
 
--- a/include/dragonflymoor/Orders/OrderLedger.h
+++ b/include/dragonflymoor/Orders/OrderLedger.h
@@ -14,7 +14,7 @@
 struct OrderLedgerOptions
 {
   VmInstance self;
-  /// Orders kept in memory, about 120 bytes each. When there are more, the oldest are forgotten and
+  /// Orders kept in memory, about 150 bytes each. When there are more, the oldest are forgotten and
   /// keys as old as these are answered as unknown.
   size_t maxOrders = 400'000;
   size_t maxAnswers = 20'000;                 ///< Answers kept for repeats.
@@ -56,8 +56,8 @@
   OrderLedger(const OrderLedger&) = delete;
   OrderLedger& operator=(const OrderLedger&) = delete;
 
-  /// Whether a copy would join an order in memory, so that it costs no new run and plan limits need
-  /// not be applied. Precondition: aHead.order is set.
+  /// Whether a copy would join a running order or get a kept outcome, so that it costs no new run
+  /// and plan limits need not be applied. Precondition: aHead.order is set.
   bool Knows(const RequestHead& aHead) const;
 
   /// A copy arrived in the role Entry or Claimer. Exactly one reply follows, unless it is reported
