--- a/include/dragonflymoor/Recovery/HedgePolicy.h
+++ b/include/dragonflymoor/Recovery/HedgePolicy.h
@@ -33,7 +33,9 @@
 /// What remains to be done when an attempt ends.
 enum class HedgeEnd
 {
-  Last,       ///< No other attempt of the request is running: its end decides.
+  /// No other attempt of the request is running: its end decides. After a failure either OnStarted
+  /// (retry) or OnRequestGone must follow.
+  Last,
   Won,        ///< The first complete answer; the other attempt was cancelled.
   OtherRuns,  ///< This attempt failed but the other one still runs: wait for it.
   Superseded, ///< The request was already answered: ignore this end.
@@ -77,15 +79,15 @@
   {
     std::vector<Duration> times; ///< Ring of the last answer times.
     size_t next = 0;
-    std::optional<Duration> percentile;
+    Duration percentile{};
   };
   struct Race
   {
     PoolId pool;
-    ServiceId service;
     std::set<AttemptId> running;
     std::optional<TimePoint> due;
     TimePoint deadline;
+    bool hedged = false; ///< A second attempt was started.
   };
 
   void Record(const PoolId& aPool, Duration aElapsed);
