Implement Admission, Dispatch, Shares and Links

Cause: the Engine needs rank queues, pool ownership, server selection, shares and link budgets. Change: implementations behind the headers. Buckets are filled inside ShareBook, which integrates the share over every loan and expiry; a bucket that samples its share misses short dips between two calls.

--- a/include/dragonflymoor/Admission/PlanLimiter.h
+++ b/include/dragonflymoor/Admission/PlanLimiter.h
@@ -41,6 +41,9 @@
                   TimePoint aDeadline,
                   TimePoint aNow);
 
+  /// Reports the demand to the shares. To be called every 20 ms or so, before ShareBook::OnTick.
+  void OnTick(TimePoint aNow);
+
   /// An admitted request ended, however it ended.
   void OnEnded(const PlanId& aPlan, const ServiceId& aService, TimePoint aNow);
 
@@ -50,17 +53,16 @@
   struct Limit
   {
     bool limited = false;
-    PlanLimit limit;
     ShareKey rateKey;
     ShareKey inFlightKey;
-    TokenBucket bucket;
-    DemandMeter demand;
+    DemandMeter rateDemand;
+    DemandMeter inFlightRefused;
     uint32_t inFlight = 0;
-    uint32_t refused = 0; ///< In-flight refusals since the last end, as a sign of demand.
   };
   using LimitKey = std::pair<PlanId, ServiceId>;
 
-  void ReportInFlight(Limit& aLimit, TimePoint aNow);
+  Limit& FindOrAdd(const PlanId& aPlan, const ServiceId& aService);
+  void ReportInFlight(const Limit& aLimit, TimePoint aNow);
 
   ShareBook& shares_;
   std::map<LimitKey, Limit> limits_;
--- a/include/dragonflymoor/Admission/RankQueue.h
+++ b/include/dragonflymoor/Admission/RankQueue.h
@@ -69,6 +69,9 @@
   /// expected slot time is charged at once; OnSlotTime corrects it.
   Next Pop(TimePoint aNow);
 
+  /// Takes out every request that cannot be answered in time, as Pop does.
+  std::vector<RequestId> TakeExpired(TimePoint aNow);
+
   /// Takes a cancelled request out. False when it is not queued.
   bool Remove(RequestId aId);
 
@@ -91,6 +94,7 @@
     std::list<Entry> entries;
     double weight = 1;
     double served = 0; ///< Slot time in seconds divided by the weight (virtual time).
+    double excess = 0; ///< Queued requests over weight, as linked in byExcess.
   };
   using PlanMap = std::unordered_map<PlanId, PlanQueue>;
   using PlanNode = PlanMap::value_type;
@@ -124,10 +128,9 @@
   void Link(RankState& aRank, PlanNode& aPlan);
   void Unlink(RankState& aRank, PlanNode& aPlan);
   void ForgetIdlePlans(RankState& aRank);
-  void DropExpired(TimePoint aNow, std::vector<RequestId>& aExpired);
   std::optional<size_t> SelectRank() const;
   void Charge(size_t aRank, double aSeconds);
-  void BoundCredit(RankState& aRank) const;
+  void ChargePlan(RankState& aRank, PlanNode& aPlan, double aSeconds);
 
   RankQueueOptions options_;
   std::unordered_map<PlanId, uint32_t> weights_;
--- a/include/dragonflymoor/Dispatch/Pool.h
+++ b/include/dragonflymoor/Dispatch/Pool.h
@@ -44,9 +44,9 @@
   void SetService(const Service& aService);
   /// See ServerPool::SetServers.
   void SetServers(const std::vector<BackendServer>& aServers, bool aWarm, TimePoint aNow);
-  void SetDraining(std::set<BackendId> aDraining);
+  void SetDraining(const std::set<BackendId>& aDraining, TimePoint aNow);
   void SetPlanWeights(std::unordered_map<PlanId, uint32_t> aWeights);
-  void SetPhase(PoolPhase aPhase);
+  void SetPhase(PoolPhase aPhase, TimePoint aNow);
 
   /// Queues a request. aTried are servers that it was already sent to. Returns the request that was
   /// refused because the queue is full (Reason::QueueFull); it may be another one.
@@ -87,17 +87,16 @@
     TimePoint started;
   };
 
-  bool StartOne(const QueuedRequest& aRequest, Dispatched& aDispatched, TimePoint aNow);
-  void StartParked(Dispatched& aDispatched, TimePoint aNow);
+  void DropExpired(Dispatched& aDispatched, TimePoint aNow);
+  void StartOrPark(const QueuedRequest& aRequest, Dispatched& aDispatched, TimePoint aNow);
   bool TooLate(const QueuedRequest& aRequest, TimePoint aNow) const;
-  const std::set<BackendId>& TriedBy(RequestId aId) const;
 
   PoolSite site_;
   Service service_;
   PoolOptions options_;
   RankQueue queue_;
   ServerPool servers_;
-  /// Requests that were next but whose remaining servers are full.
+  /// Requests that were next but whose untried servers are full.
   std::list<QueuedRequest> parked_;
   std::unordered_map<RequestId, std::set<BackendId>> tried_;
   std::unordered_map<RequestId, InFlight> inFlight_;
--- a/include/dragonflymoor/Dispatch/PoolOwnership.h
+++ b/include/dragonflymoor/Dispatch/PoolOwnership.h
@@ -49,6 +49,7 @@
   RemoteWait,     ///< Remote owner that waits before it starts; nothing is dispatched.
   RemoteTakeOver, ///< Remote owner: at most half of the slots.
   TakingOver,     ///< New owner: half of the slots, less what servers report in excess.
+  HandedOver,     ///< New owner after one that has left: the slots that servers report as free.
   Mine,
 };
 
--- a/include/dragonflymoor/Dispatch/ServerPool.h
+++ b/include/dragonflymoor/Dispatch/ServerPool.h
@@ -7,6 +7,7 @@
 #include "dragonflymoor/Support/Random.h"
 #include "dragonflymoor/Support/Time.h"
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,6 +36,9 @@
   Duration ejectionTime = 5s;   ///< Doubled for each further ejection.
   Duration maxEjectionTime = 60s;
   Duration shedHold = 1s; ///< The window regains one slot in this time after a shed.
+  /// After a hand-over nothing is sent to a server until its first report, for at most this time.
+  Duration handOverWait = 500ms;
+  bool takeOverGuard = true; ///< Guard 2; switched off only in trials.
 };
 
 /// State of one server for the status page.
@@ -58,9 +62,9 @@
   /// forgotten when their last request ends.
   void SetServers(const std::vector<BackendServer>& aServers, bool aWarm, TimePoint aNow);
   /// Servers that a planned drain names; replaces the earlier set.
-  void SetDraining(std::set<BackendId> aDraining);
+  void SetDraining(const std::set<BackendId>& aDraining, TimePoint aNow);
   /// What the ownership of the pool allows.
-  void SetPhase(PoolPhase aPhase) { phase_ = aPhase; }
+  void SetPhase(PoolPhase aPhase, TimePoint aNow);
 
   /// The server with the most free room that is not in aExclude; empty when there is none.
   std::optional<BackendId> Pick(const std::set<BackendId>& aExclude, TimePoint aNow);
@@ -87,34 +91,36 @@
   {
     BackendServer backend;
     uint32_t inFlight = 0;
-    TimePoint rampStart; ///< Start of the slow start; its part grows while reports are no obstacle.
-    bool ramping = true;
     bool planned = false;  ///< Named by a planned drain.
     bool reported = false; ///< Reported itself as draining.
     bool removed = false;
-    uint32_t shedWindow = 0; ///< Bound by shedding.
-    TimePoint shedAt;
-    uint32_t foreign = 0; ///< In flight in the last report in excess of the own count.
-    uint32_t failures = 0;
-    std::vector<bool> recent; ///< Ring of the last results; true is a failure.
-    size_t recentNext = 0;
+    bool holding = false; ///< The last report is missing: the window must not grow.
+    TimePoint advanced;   ///< Time to which ramped and shedBound are brought forward.
+    Duration ramped{};    ///< Time spent in slow start.
+    double shedBound = 0; ///< Bound of the window by shedding.
+    /// In flight in the last report beyond the own count; empty without a report since take-over.
+    std::optional<uint32_t> foreign;
+    uint32_t leastInFlight = 0; ///< Lowest own count since the last report.
+    uint32_t failures = 0;      ///< Consecutive failures.
+    std::deque<bool> recent;    ///< The last results; true is a failure.
     uint32_t ejections = 0;
     std::optional<TimePoint> ejectedUntil;
   };
 
+  bool Gone(const Server& aServer) const;
   bool Ejected(const Server& aServer, TimePoint aNow) const;
   uint32_t WindowOf(const Server& aServer, TimePoint aNow) const;
-  uint32_t RampWindow(const Server& aServer, TimePoint aNow) const;
-  uint32_t ShedWindow(const Server& aServer, TimePoint aNow) const;
-  void OnShed(Server& aServer, TimePoint aNow);
+  uint32_t OwnershipWindow(const Server& aServer, TimePoint aNow) const;
+  ServerStatus StatusOf(const Server& aServer, TimePoint aNow) const;
+  void Advance(Server& aServer, TimePoint aNow) const;
   void OnFailure(Server& aServer, TimePoint aNow);
-  void OnSuccess(Server& aServer);
   void Eject(Server& aServer, TimePoint aNow);
-  void Restart(Server& aServer, TimePoint aNow) const;
+  static void Restart(Server& aServer, TimePoint aNow);
 
   ServerPoolOptions options_;
   Random random_;
   PoolPhase phase_ = PoolPhase::NotMine;
+  TimePoint ownedSince_;
   std::map<BackendId, Server> servers_;
 };
 
--- a/include/dragonflymoor/Links/LinkBudget.h
+++ b/include/dragonflymoor/Links/LinkBudget.h
@@ -25,7 +25,7 @@
   double burst = 0.1; ///< Size of the bucket as part of the share.
   /// Slows the bucket so that the cap holds although this VM's clock runs fast by this part.
   double clockDrift = 0.05;
-  /// Part of the bucket that a rank may take: urgent, normal, bulk.
+  /// Part of a share that a rank may use together with the ranks below it: urgent, normal, bulk.
   std::array<double, kRankCount> portion = { 1.0, 0.8, 0.5 };
 };
 
@@ -45,42 +45,48 @@
   bool TrySend(const RegionId& aTo, Rank aRank, uint64_t aBytes, TimePoint aNow);
 
   /// Reserves the expected answer bytes of a request before it is dispatched. Nothing is sent yet.
-  /// More than the bucket holds is reserved as the whole bucket.
+  /// At most half of the rank's bucket is reserved, because more may never be free at once.
   bool TryReserve(const RegionId& aTo,
                   RequestId aRequest,
                   Rank aRank,
                   uint64_t aExpectedBytes,
                   TimePoint aNow);
 
-  /// Takes up to aBytes of the answer for sending now and returns how many bytes may be sent. The
-  /// reservation of the request is used up first; after it come free tokens. When less than aBytes
-  /// was returned, call again on a later tick for the rest.
+  /// Takes up to aBytes of the answer for sending now and returns how many bytes may be sent: of
+  /// the reservation first, then of what nobody else reserved. When less than aBytes was returned,
+  /// call again on a later tick for the rest. Precondition: the request has a reservation.
   uint64_t TakeReserved(const RegionId& aTo, RequestId aRequest, uint64_t aBytes, TimePoint aNow);
 
   /// Ends a reservation: the answer was sent, or none will be.
   void Release(const RegionId& aTo, RequestId aRequest);
 
+  /// Reports the demand to the shares. To be called every 20 ms or so, before ShareBook::OnTick.
+  void OnTick(TimePoint aNow);
+
   /// Bytes a second of this VM's share, and bytes sent in the last second; for the status page.
   double ShareBytesPerSecond(const RegionId& aTo, TimePoint aNow) const;
   double UsedBytesLastSecond(const RegionId& aTo, TimePoint aNow) const;
 
 private:
+  struct Reservation
+  {
+    size_t rank = 0;
+    double bytes = 0;
+  };
   struct Direction
   {
     ShareKey key;
-    TokenBucket bucket;
-    double size = 0;
     DemandMeter demand;
-    std::map<RequestId, double> reserved;
-    double reservedSum = 0;
+    std::map<RequestId, Reservation> reservations;
+    /// Bytes reserved by a rank and those below it, as the rank's bucket sees it.
+    std::array<double, kRankCount> reserved{};
     std::deque<std::pair<TimePoint, double>> sent;
   };
 
   Direction* Find(const RegionId& aTo);
-  void Refill(Direction& aDirection, TimePoint aNow);
-  void Want(Direction& aDirection, double aBytes, TimePoint aNow);
-  bool Fits(const Direction& aDirection, Rank aRank, double aBytes) const;
-  static void Record(Direction& aDirection, double aBytes, TimePoint aNow);
+  double Free(const Direction& aDirection, size_t aRank, TimePoint aNow);
+  void Take(Direction& aDirection, size_t aRank, double aBytes, TimePoint aNow);
+  static void Reserve(Direction& aDirection, Reservation& aReservation, double aBytes);
 
   RegionId region_;
   ShareBook& shares_;
--- a/include/dragonflymoor/Links/RemoteAdmission.h
+++ b/include/dragonflymoor/Links/RemoteAdmission.h
@@ -12,8 +12,8 @@
 {
   double growthPerSecond = 0.1; ///< Part of the pool's slots that remote work may grow by.
   double maxUtilisation = 0.85; ///< Remote requests are admitted only below this.
-  /// Without fresh data on the pool the limit is held for this time and then falls at the rate at
-  /// which it may grow.
+  /// Without data on the pool the limit is held for this time and then falls at the rate at which
+  /// it may grow.
   Duration holdTime = 1s;
 };
 
@@ -35,7 +35,7 @@
   void OnLoad(const std::optional<Load>& aLoad, TimePoint aNow);
 
   /// Reason::None admits a remote request and counts it until OnEnded; RegionBusy refuses it.
-  Reason TryAdmit(TimePoint aNow);
+  Reason TryAdmit();
   void OnEnded();
 
   uint32_t Remote() const { return remote_; }
@@ -47,9 +47,10 @@
   Load load_;
   uint32_t admittedSinceLoad_ = 0;
   uint32_t remote_ = 0;
+  double peak_ = 0; ///< Recent highest count of remote requests.
   double limit_ = 0;
   std::optional<TimePoint> lastLoad_;
-  TimePoint lastChange_;
+  TimePoint advanced_;
 };
 
 } // namespace dfm
--- a/include/dragonflymoor/Shares/TokenBucket.h
+++ b/include/dragonflymoor/Shares/TokenBucket.h
@@ -2,26 +2,35 @@
 #define DRAGONFLYMOOR_SHARES_TOKENBUCKET_H
 
 #include "dragonflymoor/Support/Time.h"
-#include <optional>
 
 namespace dfm {
 
-/// Token bucket whose rate and size change over time. It starts empty. Not thread-safe.
+/// Shape of a token bucket that is filled from a share.
+struct BucketOptions
+{
+  double rate = 1;       ///< Part of the share that fills the bucket in each second.
+  double burst = 0.1;    ///< Size of the bucket as part of the share.
+  double leastBurst = 0; ///< Smallest size, in tokens.
+};
+
+/// Token bucket whose rate and size follow a share. It starts empty. Not thread-safe.
 class TokenBucket
 {
 public:
-  /// Adds the tokens since the last call at the lower one of the last and the new rate, then bounds
-  /// them to aSize. aRate is in tokens a second.
-  void Refill(double aRate, double aSize, TimePoint aNow);
+  explicit TokenBucket(BucketOptions aOptions = {});
 
+  /// Adds the tokens of aElapsed, during which the share was aShare.
+  void Fill(double aShare, Duration aElapsed);
+  /// Drops the tokens that do not fit the bucket of a share.
+  void Bound(double aShare);
+  double Size(double aShare) const;
   double Tokens() const { return tokens_; }
   /// Takes tokens. Precondition: aAmount is at most Tokens().
   void Take(double aAmount);
 
 private:
+  BucketOptions options_;
   double tokens_ = 0;
-  double rate_ = 0;
-  std::optional<TimePoint> last_;
 };
 
 /// Smoothed rate of events, to learn the demand for a share. Not thread-safe.
