--- a/include/dragonflymoor/Dispatch/ServerPool.h
+++ b/include/dragonflymoor/Dispatch/ServerPool.h
@@ -38,7 +38,6 @@
   Duration shedHold = 1s; ///< The window regains one slot in this time after a shed.
   /// After a hand-over nothing is sent to a server until its first report, for at most this time.
   Duration handOverWait = 500ms;
-  bool takeOverGuard = true; ///< Guard 2; switched off only in trials.
 };
 
 /// State of one server for the status page.
--- a/include/dragonflymoor/Shares/ShareBook.h
+++ b/include/dragonflymoor/Shares/ShareBook.h
@@ -27,16 +27,14 @@
   Duration startHold = 3350ms;
   Duration requestTimeout = 500ms; ///< After this, another peer is asked.
   Duration spareAge = 1s;          ///< An advertised spare amount is believed for this time.
-  /// A loan is asked for again when it has less than this time left and is still needed.
-  Duration renewBefore = 1s;
+  /// A loan that is still needed is renewed when it has less than this time left. A renewal extends
+  /// the loan in place: the lender has nothing left for a second loan beside it.
+  Duration renewBefore = 1500ms;
   /// Part of the base share that a lender keeps above its own demand, so that it can serve its
   /// first requests at once. Amounts in flight are small and are lent in full.
   double keepPart = 0.1;
   /// Loans are given back when the rest is this many times the demand.
   double giveBackAbove = 1.25;
-  /// Guards of the roster rules; switched off only in trials.
-  bool waitForConfirmation = true;
-  bool confirmAfterLoans = true;
 };
 
 /// Messages that a ShareBook sends. All hooks must be set and must not call the book again.
@@ -64,7 +62,8 @@
                  const std::set<VmId>& aSettled = {});
 
   /// The version that this VM confirms in its probes. It trails the version in force while loans or
-  /// requests in flight still use more than the new base share.
+  /// requests in flight still use more than the new base share, and while loans of a VM that the
+  /// new version leaves out may still be in use.
   ListVersion ConfirmedRoster(TimePoint aNow);
 
   /// A probe of aVm carried this confirmed version.
@@ -125,6 +124,7 @@
     uint64_t nonce = 0;
     double amount = 0;
     TimePoint expires;
+    bool last = false; ///< The lender did not renew it.
   };
   struct Pending
   {
@@ -163,8 +163,16 @@
   void AdvanceAll(TimePoint aNow);
   bool LoansFit(TimePoint aNow) const;
   void TrySettle(TimePoint aNow);
+  static Loan* FindLoan(std::vector<Loan>& aLoans, const VmId& aPeer, uint64_t aNonce);
+  void SendRequest(const ShareKey& aKey,
+                   Account& aAccount,
+                   const VmId& aPeer,
+                   uint64_t aNonce,
+                   double aAmount,
+                   TimePoint aNow);
   std::optional<VmId> ChoosePeer(const Account& aAccount, TimePoint aNow);
   void Ask(const ShareKey& aKey, Account& aAccount, TimePoint aNow);
+  void Lend(const VmId& aTo, Account& aAccount, ShareGrant& aGrant, double aWanted, TimePoint aNow);
   void GiveBack(const ShareKey& aKey, Account& aAccount, TimePoint aNow);
   Duration LenderTime() const { return options_.loanTime + options_.lenderMargin; }
 
@@ -176,6 +184,7 @@
   Roster roster_;
   std::vector<Roster> pastRosters_; ///< Replaced less than LenderTime() ago.
   ListVersion ownConfirmed_ = 0;
+  TimePoint confirmFrom_;       ///< Nothing new is confirmed before.
   ListVersion joinVersion_ = 0; ///< First version seen since which this VM is in the roster.
   bool settled_ = false;
   std::map<VmId, ListVersion> confirmed_;
--- a/lib/Admission/RankQueue.cpp
+++ b/lib/Admission/RankQueue.cpp
@@ -10,7 +10,7 @@
 
 /// Bound of a rank's credit, in expected slot times. It forgets what a rank received long ago, and
 /// still covers single requests that take much longer than expected.
-constexpr double kCreditBound = 20;
+constexpr double kCreditBound = 100;
 
 /// Idle plans are forgotten when there are this many more plans than queued requests.
 constexpr size_t kIdlePlans = 64;
--- a/lib/Dispatch/ServerPool.cpp
+++ b/lib/Dispatch/ServerPool.cpp
@@ -248,8 +248,7 @@
     return;
   aServer.ramped = std::min(aServer.ramped + elapsed, options_.slowStart);
   aServer.shedBound =
-    std::min<double>(aServer.shedBound + elapsed / options_.shedHold +
-                       ToSeconds(elapsed % options_.shedHold) / ToSeconds(options_.shedHold),
+    std::min<double>(aServer.shedBound + ToSeconds(elapsed) / ToSeconds(options_.shedHold),
                      aServer.backend.slots);
 }
 
@@ -283,7 +282,7 @@
 ServerPool::OwnershipWindow(const Server& aServer, TimePoint aNow) const
 {
   const uint32_t slots = aServer.backend.slots;
-  if (phase_ == PoolPhase::Mine || !options_.takeOverGuard)
+  if (phase_ == PoolPhase::Mine)
     return slots;
   if (phase_ == PoolPhase::HandedOver && !aServer.foreign)
     return aNow - ownedSince_ < options_.handOverWait ? 0 : HalfOf(slots);
--- a/lib/Shares/ShareBook.cpp
+++ b/lib/Shares/ShareBook.cpp
@@ -25,6 +25,7 @@
   , hooks_(std::move(aHooks))
   , random_(aSeed)
   , started_(aNow)
+  , confirmFrom_(aNow + aOptions.startHold)
 {
   assert(hooks_.request && hooks_.grant && hooks_.giveBack && "every hook must be set");
 }
@@ -38,7 +39,6 @@
   if (aVersion <= roster_.version)
     return;
   AdvanceAll(aNow);
-  // A VM that the new roster leaves out no longer runs, but its loans last until they expire.
   std::erase_if(pastRosters_,
                 [&](const Roster& aPast) { return aNow - aPast.replaced >= LenderTime(); });
   if (roster_.version != 0) {
@@ -55,6 +55,15 @@
     ++next.perRegion[vm.region];
     next.containsSelf = next.containsSelf || vm.id == self_.id;
   }
+  std::set<VmId> present;
+  for (const Vm& vm : aVms)
+    present.insert(vm.id);
+  const bool removed = std::any_of(roster_.vms.begin(), roster_.vms.end(), [&](const Vm& aVm) {
+    return !present.contains(aVm.id);
+  });
+  // A new VM must not take the place of a removed one before that one's loans have ended.
+  if (removed)
+    confirmFrom_ = std::max(confirmFrom_, aNow + LenderTime());
   if (next.containsSelf && !roster_.containsSelf)
     joinVersion_ = aVersion;
   roster_ = std::move(next);
@@ -70,7 +79,7 @@
 ListVersion
 ShareBook::ConfirmedRoster(TimePoint aNow)
 {
-  if (!options_.confirmAfterLoans || LoansFit(aNow))
+  if (aNow >= confirmFrom_ && LoansFit(aNow))
     ownConfirmed_ = roster_.version;
   return ownConfirmed_;
 }
@@ -111,7 +120,7 @@
     const auto found = confirmed_.find(aVm.id);
     return aVm.id == self_.id || (found != confirmed_.end() && found->second >= joinVersion_);
   });
-  if (!confirmed && options_.waitForConfirmation)
+  if (!confirmed)
     return;
   AdvanceAll(aNow);
   settled_ = true;
@@ -238,19 +247,47 @@
 void
 ShareBook::Ask(const ShareKey& aKey, Account& aAccount, TimePoint aNow)
 {
-  if (aAccount.pending && aNow - aAccount.pending->sent < options_.requestTimeout)
-    return;
-  aAccount.pending.reset();
-  const double lasting = std::max(0.0, ShareOf(aAccount, aNow + options_.renewBefore, aNow));
+  if (aAccount.pending) {
+    if (aNow - aAccount.pending->sent < options_.requestTimeout)
+      return;
+    // The peer is late; others are asked first for a while.
+    aAccount.spares[aAccount.pending->peer] = Spare{ .amount = 0, .heard = aNow };
+    if (Loan* loan = FindLoan(aAccount.borrowed, aAccount.pending->peer, aAccount.pending->nonce))
+      loan->last = true;
+    aAccount.pending.reset();
+  }
+  const TimePoint horizon = aNow + options_.renewBefore;
+  const double lasting = std::max(0.0, ShareOf(aAccount, horizon, aNow));
   const double missing = std::min(aAccount.demand, aAccount.amount) - lasting;
   if (missing <= kLeastLoan * aAccount.amount)
     return;
-  const std::optional<VmId> peer = ChoosePeer(aAccount, aNow);
-  if (!peer)
-    return;
-  aAccount.pending = Pending{ .peer = *peer, .nonce = random_.Next(), .sent = aNow };
-  hooks_.request(*peer,
-                 ShareRequest{ .nonce = aAccount.pending->nonce, .key = aKey, .amount = missing });
+  for (const Loan& loan : aAccount.borrowed) {
+    if (loan.expires <= horizon && !loan.last)
+      return SendRequest(aKey, aAccount, loan.peer, loan.nonce, loan.amount, aNow);
+  }
+  if (const std::optional<VmId> peer = ChoosePeer(aAccount, aNow))
+    SendRequest(aKey, aAccount, *peer, random_.Next(), missing, aNow);
+}
+
+void
+ShareBook::SendRequest(const ShareKey& aKey,
+                       Account& aAccount,
+                       const VmId& aPeer,
+                       uint64_t aNonce,
+                       double aAmount,
+                       TimePoint aNow)
+{
+  aAccount.pending = Pending{ .peer = aPeer, .nonce = aNonce, .sent = aNow };
+  hooks_.request(aPeer, ShareRequest{ .nonce = aNonce, .key = aKey, .amount = aAmount });
+}
+
+ShareBook::Loan*
+ShareBook::FindLoan(std::vector<Loan>& aLoans, const VmId& aPeer, uint64_t aNonce)
+{
+  const auto found = std::find_if(aLoans.begin(), aLoans.end(), [&](const Loan& aLoan) {
+    return aLoan.peer == aPeer && aLoan.nonce == aNonce;
+  });
+  return found == aLoans.end() ? nullptr : &*found;
 }
 
 std::optional<VmId>
@@ -283,7 +320,9 @@
     // Requests in flight were admitted against loans that outlast them, so a loan may go only when
     // the share without any loan covers them all.
     const double own = ShareOf(aAccount, TimePoint::max(), aNow);
-    if (rest < options_.giveBackAbove * aAccount.demand || own < aAccount.held) {
+    // A renewal on its way would bring a returned loan back to life at this end only.
+    const bool renewing = aAccount.pending && aAccount.pending->nonce == loan->nonce;
+    if (renewing || rest < options_.giveBackAbove * aAccount.demand || own < aAccount.held) {
       ++loan;
       continue;
     }
@@ -297,49 +336,64 @@
 ShareBook::OnShareRequest(const VmId& aFrom, const ShareRequest& aRequest, TimePoint aNow)
 {
   ShareGrant grant{ .nonce = aRequest.nonce, .key = aRequest.key, .amount = 0, .spare = 0 };
-  Account* account = Find(aRequest.key);
-  if (!account) {
-    hooks_.grant(aFrom, grant);
-    return;
+  if (Account* account = Find(aRequest.key)) {
+    Advance(*account, aNow);
+    Lend(aFrom, *account, grant, aRequest.amount, aNow);
+    grant.spare = SpareOf(aRequest.key, *account, aNow);
   }
-  Advance(*account, aNow);
-  const bool repeated =
-    std::any_of(account->lent.begin(), account->lent.end(), [&](const Loan& aLoan) {
-      return aLoan.peer == aFrom && aLoan.nonce == aRequest.nonce;
-    });
-  if (repeated)
+  hooks_.grant(aFrom, grant);
+}
+
+void
+ShareBook::Lend(const VmId& aTo,
+                Account& aAccount,
+                ShareGrant& aGrant,
+                double aWanted,
+                TimePoint aNow)
+{
+  const TimePoint expires = aNow + LenderTime();
+  if (Loan* loan = FindLoan(aAccount.lent, aTo, aGrant.nonce)) {
+    // A lender that lacks something itself lets the loan end.
+    if (ShareOf(aAccount, TimePoint::max(), aNow) < std::max(aAccount.demand, aAccount.held))
+      return;
+    loan->expires = expires;
+    aGrant.amount = loan->amount;
     return;
-  grant.amount = std::clamp(aRequest.amount, 0.0, SpareOf(aRequest.key, *account, aNow));
-  if (grant.amount > 0) {
-    account->lent.push_back(Loan{ .peer = aFrom,
-                                  .nonce = aRequest.nonce,
-                                  .amount = grant.amount,
-                                  .expires = aNow + LenderTime() });
-    BoundBuckets(*account, aNow);
   }
-  grant.spare = SpareOf(aRequest.key, *account, aNow);
-  hooks_.grant(aFrom, grant);
+  aGrant.amount = std::clamp(aWanted, 0.0, SpareOf(aGrant.key, aAccount, aNow));
+  if (aGrant.amount <= 0)
+    return;
+  aAccount.lent.push_back(
+    Loan{ .peer = aTo, .nonce = aGrant.nonce, .amount = aGrant.amount, .expires = expires });
+  BoundBuckets(aAccount, aNow);
 }
 
 void
 ShareBook::OnShareGrant(const VmId& aFrom, const ShareGrant& aGrant, TimePoint aNow)
 {
   Account* account = Find(aGrant.key);
+  if (account)
+    Advance(*account, aNow);
+  Loan* loan = account ? FindLoan(account->borrowed, aFrom, aGrant.nonce) : nullptr;
   const bool expected = account && account->pending && account->pending->peer == aFrom &&
                         account->pending->nonce == aGrant.nonce;
   if (!expected) {
-    // The answer came after its timeout; the loan was never used.
-    if (aGrant.amount > 0)
+    // The answer came after its timeout. A new loan was never used; a renewed one still is.
+    if (aGrant.amount > 0 && !loan)
       hooks_.giveBack(aFrom, ShareReturn{ .nonce = aGrant.nonce, .key = aGrant.key });
     return;
   }
-  Advance(*account, aNow);
   const TimePoint expires = account->pending->sent + options_.loanTime;
   account->pending.reset();
   account->spares[aFrom] = Spare{ .amount = aGrant.spare, .heard = aNow };
-  if (aGrant.amount > 0 && aNow < expires)
+  if (loan) {
+    loan->last = aGrant.amount <= 0;
+    loan->expires = loan->last ? loan->expires : expires;
+    loan->amount = loan->last ? loan->amount : std::min(loan->amount, aGrant.amount);
+  } else if (aGrant.amount > 0 && aNow < expires) {
     account->borrowed.push_back(
       Loan{ .peer = aFrom, .nonce = aGrant.nonce, .amount = aGrant.amount, .expires = expires });
+  }
   Ask(aGrant.key, *account, aNow);
 }
 
@@ -385,6 +439,7 @@
     return 0;
   if (aAccount.region && *aAccount.region != self_.region)
     return 0;
+  // A VM that the new roster leaves out no longer runs, but its loans last until they expire.
   uint32_t count = CountOf(roster_, aAccount);
   for (const Roster& past : pastRosters_) {
     if (aNow - past.replaced < LenderTime())
