--- a/include/dragonflymoor/Dispatch/PoolOwnership.h
+++ b/include/dragonflymoor/Dispatch/PoolOwnership.h
@@ -80,6 +80,10 @@
   /// tier and rendezvous hash yields at once.
   void OnClaim(const PoolId& aPool, const Vm& aClaimant, TimePoint aNow);
 
+  /// Guard 1 ended: the process may dispatch again after a pause. Meanwhile others may have taken
+  /// over, so that this VM takes its pools over anew.
+  void OnPauseEnded(TimePoint aNow);
+
   PoolPhase Phase(const PoolId& aPool, TimePoint aNow) const;
   /// The VM to forward to; empty when there is none.
   std::optional<VmId> Owner(const PoolId& aPool, TimePoint aNow) const;
--- a/lib/Dispatch/PoolOwnership.cpp
+++ b/lib/Dispatch/PoolOwnership.cpp
@@ -122,6 +122,15 @@
   return aState.claim && aNow - aState.claim->heard < options_.claimTime;
 }
 
+void
+PoolOwnership::OnPauseEnded(TimePoint aNow)
+{
+  for (auto& [pool, state] : pools_) {
+    state.since = aNow;
+    state.handedOver = false;
+  }
+}
+
 PoolPhase
 PoolOwnership::Phase(const PoolId& aPool, TimePoint aNow) const
 {
--- a/lib/Dispatch/ServerPool.cpp
+++ b/lib/Dispatch/ServerPool.cpp
@@ -247,9 +247,8 @@
   if (aServer.holding)
     return;
   aServer.ramped = std::min(aServer.ramped + elapsed, options_.slowStart);
-  aServer.shedBound =
-    std::min<double>(aServer.shedBound + ToSeconds(elapsed) / ToSeconds(options_.shedHold),
-                     aServer.backend.slots);
+  aServer.shedBound = std::min<double>(
+    aServer.shedBound + ToSeconds(elapsed) / ToSeconds(options_.shedHold), aServer.backend.slots);
 }
 
 bool
--- a/unittests/Shares/ShareFleet.h
+++ b/unittests/Shares/ShareFleet.h
@@ -143,7 +143,7 @@
         node.book.reset();
         break;
       case FleetCommand::Kind::Restart:
-        if (!node.book && (node.inRoster || aCommand.value < 64))
+        if (!node.book && node.inRoster)
           Start(vm, aCommand.value % 2 != 0);
         break;
       case FleetCommand::Kind::Pause:
