--- a/include/dragonflymoor/Recovery/CrashRegistry.h
+++ b/include/dragonflymoor/Recovery/CrashRegistry.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace dfm {
 
@@ -36,16 +37,24 @@
   /// A report of another VM. False when it is a repeat and was not counted.
   bool OnReport(TimePoint aNow, const CrashReport& aReport);
 
+  /// Reports of all crashes that still count, for a VM that has just started.
+  std::vector<CrashReport> Reports(TimePoint aNow) const;
+
   /// Whether a request must not be sent to a server. Must be asked right before each attempt.
   bool IsBlocked(TimePoint aNow, const WorkspaceId& aWorkspace, uint64_t aFingerprint) const;
 
   size_t BlockedCount(TimePoint aNow, const WorkspaceId& aWorkspace) const;
 
 private:
+  struct Crash
+  {
+    uint64_t reportId = 0;
+    TimePoint at;
+  };
   struct Entry
   {
     uint64_t fingerprint = 0;
-    uint32_t crashes = 0;
+    std::vector<Crash> crashes; ///< At most crashesToBlock.
     TimePoint lastCrash;
     TimePoint blockedUntil;
   };
@@ -56,7 +65,11 @@
     TimePoint lastCrash;
   };
 
-  void Count(TimePoint aNow, const WorkspaceId& aWorkspace, uint64_t aFingerprint);
+  void Count(TimePoint aNow, const CrashReport& aReport);
+  void AddReports(TimePoint aNow,
+                  const WorkspaceId& aWorkspace,
+                  const std::list<Entry>& aEntries,
+                  std::vector<CrashReport>& aReports) const;
   void Expire(TimePoint aNow, Workspace& aWorkspace) const;
   bool RememberReport(uint64_t aReportId);
   void DropOldestWorkspace();
--- a/include/dragonflymoor/Wire/Messages.h
+++ b/include/dragonflymoor/Wire/Messages.h
@@ -208,6 +208,7 @@
   uint64_t reportId = 0; ///< Unique, so that a repeated report counts once.
   WorkspaceId workspace;
   uint64_t fingerprint = 0;
+  Duration age{}; ///< Time since the crash, when an old report is repeated to a VM that started.
 
   auto operator<=>(const CrashReport&) const = default;
 };
--- a/lib/Recovery/CrashRegistry.cpp
+++ b/lib/Recovery/CrashRegistry.cpp
@@ -38,10 +38,40 @@
 {
   if (!RememberReport(aReport.reportId))
     return false;
-  Count(aNow, aReport.workspace, aReport.fingerprint);
+  if (aReport.age < options_.blockTime)
+    Count(aNow, aReport);
   return true;
 }
 
+std::vector<CrashReport>
+CrashRegistry::Reports(TimePoint aNow) const
+{
+  std::vector<CrashReport> reports;
+  for (const auto& [id, workspace] : workspaces_) {
+    AddReports(aNow, id, workspace.blocked, reports);
+    AddReports(aNow, id, workspace.suspects, reports);
+  }
+  return reports;
+}
+
+void
+CrashRegistry::AddReports(TimePoint aNow,
+                          const WorkspaceId& aWorkspace,
+                          const std::list<Entry>& aEntries,
+                          std::vector<CrashReport>& aReports) const
+{
+  for (const Entry& entry : aEntries) {
+    for (const Crash& crash : entry.crashes) {
+      const Duration age = aNow - crash.at;
+      if (age < options_.blockTime)
+        aReports.push_back({ .reportId = crash.reportId,
+                             .workspace = aWorkspace,
+                             .fingerprint = entry.fingerprint,
+                             .age = age });
+    }
+  }
+}
+
 bool
 CrashRegistry::IsBlocked(TimePoint aNow, const WorkspaceId& aWorkspace, uint64_t aFingerprint) const
 {
@@ -67,31 +97,35 @@
 }
 
 void
-CrashRegistry::Count(TimePoint aNow, const WorkspaceId& aWorkspace, uint64_t aFingerprint)
+CrashRegistry::Count(TimePoint aNow, const CrashReport& aReport)
 {
-  if (!workspaces_.contains(aWorkspace) && workspaces_.size() >= options_.maxWorkspaces)
+  const WorkspaceId& id = aReport.workspace;
+  const uint64_t fingerprint = aReport.fingerprint;
+  if (!workspaces_.contains(id) && workspaces_.size() >= options_.maxWorkspaces)
     DropOldestWorkspace();
-  Workspace& workspace = workspaces_[aWorkspace];
+  Workspace& workspace = workspaces_[id];
   workspace.lastCrash = aNow;
   Expire(aNow, workspace);
   // A late report about a blocked fingerprint does not make the block longer.
-  if (FindFingerprint(workspace.blocked, aFingerprint) != workspace.blocked.end())
+  if (FindFingerprint(workspace.blocked, fingerprint) != workspace.blocked.end())
     return;
 
-  Entry entry{ .fingerprint = aFingerprint, .crashes = 0, .lastCrash = aNow, .blockedUntil = {} };
-  const auto known = FindFingerprint(workspace.suspects, aFingerprint);
+  Entry entry{ .fingerprint = fingerprint };
+  const auto known = FindFingerprint(workspace.suspects, fingerprint);
   if (known != workspace.suspects.end()) {
-    entry.crashes = known->crashes;
+    entry = *known;
     workspace.suspects.erase(known);
   }
-  ++entry.crashes;
-  if (entry.crashes < options_.crashesToBlock) {
+  const TimePoint at = aNow - aReport.age;
+  entry.crashes.push_back({ .reportId = aReport.reportId, .at = at });
+  entry.lastCrash = std::max(entry.lastCrash, at);
+  if (entry.crashes.size() < options_.crashesToBlock) {
     workspace.suspects.push_back(entry);
     if (workspace.suspects.size() > options_.maxSuspectsPerWorkspace)
       workspace.suspects.pop_front();
     return;
   }
-  entry.blockedUntil = aNow + options_.blockTime;
+  entry.blockedUntil = entry.lastCrash + options_.blockTime;
   workspace.blocked.push_back(entry);
   if (workspace.blocked.size() > options_.maxBlockedPerWorkspace)
     workspace.blocked.pop_front();
