--- a/include/dragonflymoor/Wire/Framing.h
+++ b/include/dragonflymoor/Wire/Framing.h
@@ -15,7 +15,7 @@
 constexpr size_t kFrameHeaderBytes = 4;
 
 /// An answer of 8 MB with its headers fits; a longer frame comes from a faulty sender.
-constexpr size_t kMaxFrameBytes = 9 * 1024 * 1024;
+constexpr size_t kMaxFrameBytes = 9UL * 1024 * 1024;
 
 /// The header of a frame with a payload of aPayloadBytes. Precondition: aPayloadBytes is at most
 /// kMaxFrameBytes.
--- /dev/null
+++ b/lib/Metrics/Metrics.cpp
@@ -0,0 +1,83 @@
+#include "dragonflymoor/Metrics/Metrics.h"
+
+#include <mutex>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <sstream>
+#include <utility>
+
+namespace dfm {
+
+namespace {
+
+std::string
+MetricName(std::string_view aName, std::string_view aSuffix)
+{
+  std::string name = "dragonflymoor_";
+  for (const char c : aName) {
+    const bool valid = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+    name += valid ? c : '_';
+  }
+  name += aSuffix;
+  return name;
+}
+
+} // namespace
+
+struct Metrics::Impl
+{
+  prometheus::Registry registry;
+  std::mutex mutex;
+  /// Looked up by every count; the registry's own look-up hashes all labels each time.
+  std::map<std::pair<std::string, Reason>, prometheus::Counter*, std::less<>> counters;
+
+  prometheus::Counter& CounterFor(std::string_view aName, Reason aReason)
+  {
+    const std::scoped_lock lock(mutex);
+    prometheus::Counter*& counter = counters[{ std::string(aName), aReason }];
+    if (counter == nullptr) {
+      counter = &prometheus::BuildCounter()
+                   .Name(MetricName(aName, "_total"))
+                   .Register(registry)
+                   .Add({ { "reason", std::string(ToString(aReason)) } });
+    }
+    return *counter;
+  }
+};
+
+Metrics::Metrics()
+  : impl_(std::make_unique<Impl>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void
+Metrics::Count(std::string_view aName, Reason aReason, double aAmount)
+{
+  impl_->CounterFor(aName, aReason).Increment(aAmount);
+}
+
+void
+Metrics::SetGauge(std::string_view aName,
+                  double aValue,
+                  const std::map<std::string, std::string>& aLabels)
+{
+  prometheus::BuildGauge()
+    .Name(MetricName(aName, ""))
+    .Register(impl_->registry)
+    .Add(aLabels)
+    .Set(aValue);
+}
+
+std::string
+Metrics::Text() const
+{
+  std::ostringstream text;
+  prometheus::TextSerializer().Serialize(text, impl_->registry.Collect());
+  return text.str();
+}
+
+} // namespace dfm
--- a/lib/Wire/Codec.cpp
+++ b/lib/Wire/Codec.cpp
@@ -126,6 +126,13 @@
     aBuilder, Text(aBuilder, aOrder.key), aOrder.created.time_since_epoch().count());
 }
 
+auto
+Pack(FlatBufferBuilder& aBuilder, const VmInstance& aInstance)
+{
+  return wire::CreateVmInstance(
+    aBuilder, Text(aBuilder, aInstance.vm.Value()), aInstance.incarnation.value);
+}
+
 auto
 Pack(FlatBufferBuilder& aBuilder, const RequestHead& aHead)
 {
@@ -135,6 +142,7 @@
   const auto order = aHead.order ? Pack(aBuilder, *aHead.order) : Offset<wire::OrderKey>();
   const auto forwardedBy = OptionalText(aBuilder, aHead.forwardedBy);
   const auto forwardedFrom = OptionalText(aBuilder, aHead.forwardedFrom);
+  const auto claimer = aHead.claimer ? Pack(aBuilder, *aHead.claimer) : Offset<wire::VmInstance>();
   return wire::CreateRequestHead(aBuilder,
                                  aHead.id.value,
                                  workspace,
@@ -147,7 +155,7 @@
                                  aHead.requestBytes,
                                  forwardedBy,
                                  forwardedFrom,
-                                 aHead.claimHeldBySender);
+                                 claimer);
 }
 
 auto
@@ -192,8 +200,7 @@
                            aClaim.key.high,
                            aClaim.key.low,
                            static_cast<uint8_t>(aClaim.state),
-                           Text(aBuilder, aClaim.claimer.vm.Value()),
-                           aClaim.claimer.incarnation.value);
+                           Pack(aBuilder, aClaim.claimer));
 }
 
 auto
@@ -390,6 +397,11 @@
              .queued = Array<uint32_t, kRankCount>(*aIn.queued(), "queued") };
   }
 
+  VmInstance Read(const wire::VmInstance& aIn)
+  {
+    return { .vm = VmId(aIn.vm()->str()), .incarnation = { aIn.incarnation() } };
+  }
+
   RequestHead Read(const wire::RequestHead& aIn)
   {
     RequestHead head;
@@ -399,7 +411,6 @@
     head.service = ServiceId(aIn.service()->str());
     head.rank = Enumerator(aIn.rank(), Rank::Bulk, "rank");
     head.firstCopy = aIn.first_copy();
-    head.claimHeldBySender = aIn.claim_held_by_sender();
     head.fingerprint = aIn.fingerprint();
     head.requestBytes = aIn.request_bytes();
     if (aIn.order() != nullptr) {
@@ -411,6 +422,8 @@
       head.forwardedBy = VmId(aIn.forwarded_by()->str());
     if (aIn.forwarded_from() != nullptr)
       head.forwardedFrom = RegionId(aIn.forwarded_from()->str());
+    if (aIn.claimer() != nullptr)
+      head.claimer = Read(*aIn.claimer());
     return head;
   }
 
@@ -449,7 +462,7 @@
   {
     return { .key = { .high = aIn.key_high(), .low = aIn.key_low() },
              .state = Enumerator(aIn.state(), ClaimState::Refused, "claim state"),
-             .claimer = { .vm = VmId(aIn.vm()->str()), .incarnation = { aIn.incarnation() } } };
+             .claimer = Read(*aIn.claimer()) };
   }
 
   ClaimRequest Read(const wire::ClaimRequest& aIn)
--- a/lib/Wire/messages_generated.h
+++ b/lib/Wire/messages_generated.h
@@ -43,6 +43,9 @@
 struct OrderKey;
 struct OrderKeyBuilder;
 
+struct VmInstance;
+struct VmInstanceBuilder;
+
 struct RequestHead;
 struct RequestHeadBuilder;
 
@@ -1028,6 +1031,70 @@
       created_ms);
 }
 
+struct VmInstance FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VmInstanceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VM = 4,
+    VT_INCARNATION = 6
+  };
+  const flatbuffers::String *vm() const {
+    return GetPointer<const flatbuffers::String *>(VT_VM);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_VM) &&
+           verifier.VerifyString(vm()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct VmInstanceBuilder {
+  typedef VmInstance Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
+    fbb_.AddOffset(VmInstance::VT_VM, vm);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(VmInstance::VT_INCARNATION, incarnation, 0);
+  }
+  explicit VmInstanceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VmInstance> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VmInstance>(end);
+    fbb_.Required(o, VmInstance::VT_VM);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VmInstance> CreateVmInstance(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> vm = 0,
+    uint64_t incarnation = 0) {
+  VmInstanceBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_vm(vm);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<VmInstance> CreateVmInstanceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *vm = nullptr,
+    uint64_t incarnation = 0) {
+  auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  return dfm::wire::CreateVmInstance(
+      _fbb,
+      vm__,
+      incarnation);
+}
+
 struct RequestHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RequestHeadBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1042,7 +1109,7 @@
     VT_REQUEST_BYTES = 20,
     VT_FORWARDED_BY = 22,
     VT_FORWARDED_FROM = 24,
-    VT_CLAIM_HELD_BY_SENDER = 26
+    VT_CLAIMER = 26
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1077,8 +1144,8 @@
   const flatbuffers::String *forwarded_from() const {
     return GetPointer<const flatbuffers::String *>(VT_FORWARDED_FROM);
   }
-  bool claim_held_by_sender() const {
-    return GetField<uint8_t>(VT_CLAIM_HELD_BY_SENDER, 0) != 0;
+  const dfm::wire::VmInstance *claimer() const {
+    return GetPointer<const dfm::wire::VmInstance *>(VT_CLAIMER);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1099,7 +1166,8 @@
            verifier.VerifyString(forwarded_by()) &&
            VerifyOffset(verifier, VT_FORWARDED_FROM) &&
            verifier.VerifyString(forwarded_from()) &&
-           VerifyField<uint8_t>(verifier, VT_CLAIM_HELD_BY_SENDER, 1) &&
+           VerifyOffset(verifier, VT_CLAIMER) &&
+           verifier.VerifyTable(claimer()) &&
            verifier.EndTable();
   }
 };
@@ -1141,8 +1209,8 @@
   void add_forwarded_from(flatbuffers::Offset<flatbuffers::String> forwarded_from) {
     fbb_.AddOffset(RequestHead::VT_FORWARDED_FROM, forwarded_from);
   }
-  void add_claim_held_by_sender(bool claim_held_by_sender) {
-    fbb_.AddElement<uint8_t>(RequestHead::VT_CLAIM_HELD_BY_SENDER, static_cast<uint8_t>(claim_held_by_sender), 0);
+  void add_claimer(flatbuffers::Offset<dfm::wire::VmInstance> claimer) {
+    fbb_.AddOffset(RequestHead::VT_CLAIMER, claimer);
   }
   explicit RequestHeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1171,18 +1239,18 @@
     uint64_t request_bytes = 0,
     flatbuffers::Offset<flatbuffers::String> forwarded_by = 0,
     flatbuffers::Offset<flatbuffers::String> forwarded_from = 0,
-    bool claim_held_by_sender = false) {
+    flatbuffers::Offset<dfm::wire::VmInstance> claimer = 0) {
   RequestHeadBuilder builder_(_fbb);
   builder_.add_request_bytes(request_bytes);
   builder_.add_fingerprint(fingerprint);
   builder_.add_id(id);
+  builder_.add_claimer(claimer);
   builder_.add_forwarded_from(forwarded_from);
   builder_.add_forwarded_by(forwarded_by);
   builder_.add_order(order);
   builder_.add_service(service);
   builder_.add_plan(plan);
   builder_.add_workspace(workspace);
-  builder_.add_claim_held_by_sender(claim_held_by_sender);
   builder_.add_first_copy(first_copy);
   builder_.add_rank(rank);
   return builder_.Finish();
@@ -1201,7 +1269,7 @@
     uint64_t request_bytes = 0,
     const char *forwarded_by = nullptr,
     const char *forwarded_from = nullptr,
-    bool claim_held_by_sender = false) {
+    flatbuffers::Offset<dfm::wire::VmInstance> claimer = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto plan__ = plan ? _fbb.CreateString(plan) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1220,7 +1288,7 @@
       request_bytes,
       forwarded_by__,
       forwarded_from__,
-      claim_held_by_sender);
+      claimer);
 }
 
 struct ForwardRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1487,8 +1555,7 @@
     VT_KEY_HIGH = 4,
     VT_KEY_LOW = 6,
     VT_STATE = 8,
-    VT_VM = 10,
-    VT_INCARNATION = 12
+    VT_CLAIMER = 10
   };
   uint64_t key_high() const {
     return GetField<uint64_t>(VT_KEY_HIGH, 0);
@@ -1499,20 +1566,16 @@
   uint8_t state() const {
     return GetField<uint8_t>(VT_STATE, 0);
   }
-  const flatbuffers::String *vm() const {
-    return GetPointer<const flatbuffers::String *>(VT_VM);
-  }
-  uint64_t incarnation() const {
-    return GetField<uint64_t>(VT_INCARNATION, 0);
+  const dfm::wire::VmInstance *claimer() const {
+    return GetPointer<const dfm::wire::VmInstance *>(VT_CLAIMER);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_KEY_HIGH, 8) &&
            VerifyField<uint64_t>(verifier, VT_KEY_LOW, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
-           VerifyOffsetRequired(verifier, VT_VM) &&
-           verifier.VerifyString(vm()) &&
-           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffsetRequired(verifier, VT_CLAIMER) &&
+           verifier.VerifyTable(claimer()) &&
            verifier.EndTable();
   }
 };
@@ -1530,11 +1593,8 @@
   void add_state(uint8_t state) {
     fbb_.AddElement<uint8_t>(Claim::VT_STATE, state, 0);
   }
-  void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
-    fbb_.AddOffset(Claim::VT_VM, vm);
-  }
-  void add_incarnation(uint64_t incarnation) {
-    fbb_.AddElement<uint64_t>(Claim::VT_INCARNATION, incarnation, 0);
+  void add_claimer(flatbuffers::Offset<dfm::wire::VmInstance> claimer) {
+    fbb_.AddOffset(Claim::VT_CLAIMER, claimer);
   }
   explicit ClaimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1543,7 +1603,7 @@
   flatbuffers::Offset<Claim> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<Claim>(end);
-    fbb_.Required(o, Claim::VT_VM);
+    fbb_.Required(o, Claim::VT_CLAIMER);
     return o;
   }
 };
@@ -1553,34 +1613,15 @@
     uint64_t key_high = 0,
     uint64_t key_low = 0,
     uint8_t state = 0,
-    flatbuffers::Offset<flatbuffers::String> vm = 0,
-    uint64_t incarnation = 0) {
+    flatbuffers::Offset<dfm::wire::VmInstance> claimer = 0) {
   ClaimBuilder builder_(_fbb);
-  builder_.add_incarnation(incarnation);
   builder_.add_key_low(key_low);
   builder_.add_key_high(key_high);
-  builder_.add_vm(vm);
+  builder_.add_claimer(claimer);
   builder_.add_state(state);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<Claim> CreateClaimDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t key_high = 0,
-    uint64_t key_low = 0,
-    uint8_t state = 0,
-    const char *vm = nullptr,
-    uint64_t incarnation = 0) {
-  auto vm__ = vm ? _fbb.CreateString(vm) : 0;
-  return dfm::wire::CreateClaim(
-      _fbb,
-      key_high,
-      key_low,
-      state,
-      vm__,
-      incarnation);
-}
-
 struct ClaimRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ClaimRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/unittests/Wire/CodecTest.cpp
+++ b/unittests/Wire/CodecTest.cpp
@@ -112,13 +112,14 @@
                 .created = WallTime(std::chrono::milliseconds(*rc::gen::arbitrary<int64_t>())) };
   }
   head.firstCopy = AnyBool();
-  head.claimHeldBySender = AnyBool();
   head.fingerprint = AnyNumber();
   head.requestBytes = AnyNumber();
   if (AnyBool())
     head.forwardedBy = VmId(AnyText());
   if (AnyBool())
     head.forwardedFrom = RegionId(AnyText());
+  if (AnyBool())
+    head.claimer = VmInstance{ .vm = VmId(AnyText()), .incarnation = { AnyNumber() } };
   return head;
 }
 
