Add the I/O shell of the daemon

Cause: the engine decides without I/O; it needs HTTP servers and clients, links between VMs, the store's protocol and a thread that drives it.

Ruled out: pools of connections shared between threads (locks on every attempt); reused connections for non-idempotent requests, because a server that closes an idle connection at that moment leaves the outcome unknown; answers whose end only the closing of the connection marks, because they can't be told from truncated ones; replies to forwarded requests on a link of their own, because a broken link must end exactly its own requests.

Change: lib/Net.

--- /dev/null
+++ b/include/dragonflymoor/Net/Asio.h
@@ -0,0 +1,55 @@
+#ifndef DRAGONFLYMOOR_NET_ASIO_H
+#define DRAGONFLYMOOR_NET_ASIO_H
+
+#include "dragonflymoor/Model/Fleet.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <optional>
+
+namespace dfm {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+using asio::ip::tcp;
+using beast::error_code;
+
+/// Completion token for coroutines that handle errors as values.
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Precondition: the address is an IP literal. Safe to call from any thread.
+asio::ip::address
+ToAddress(const Endpoint& aEndpoint);
+
+tcp::endpoint
+ToTcp(const Endpoint& aEndpoint);
+
+Endpoint
+FromTcp(const tcp::endpoint& aEndpoint);
+
+/// "address:port", with an IPv6 address in brackets.
+std::string
+ToText(const Endpoint& aEndpoint);
+
+/// Opens a socket for a connection to aTarget, bound to aSource when that address is of the same
+/// family and not unspecified.
+error_code
+OpenBound(tcp::socket& aSocket,
+          const tcp::endpoint& aTarget,
+          const std::optional<asio::ip::address>& aSource);
+
+/// Sends small messages at once and lets the kernel end a connection whose peer stopped answering.
+void
+SetLiveness(tcp::socket& aSocket);
+
+/// False when the other side closed the idle connection or sent bytes nobody asked for.
+bool
+IsIdleAndOpen(tcp::socket& aSocket);
+
+} // namespace dfm
+
+#endif
--- a/lib/Wire/Framing.cpp
+++ b/lib/Wire/Framing.cpp
@@ -53,7 +53,7 @@
   std::string payload = buffer_.substr(consumed_ + kFrameHeaderBytes, *length);
   consumed_ += kFrameHeaderBytes + *length;
   // Erasing after every frame would move the rest of the buffer once for each short frame.
-  if (consumed_ == buffer_.size() || consumed_ > kMaxFrameBytes) {
+  if (consumed_ * 2 >= buffer_.size()) {
     buffer_.erase(0, consumed_);
     consumed_ = 0;
   }
