--- a/lib/Engine/Engine.cpp
+++ b/lib/Engine/Engine.cpp
@@ -57,6 +57,7 @@
   RequestFlow flow;
   TimePoint nextRoutes;
   std::optional<uint64_t> routeEpoch;
+  bool routesSettled = false;      ///< No member is left out because it has just started.
   std::optional<TimePoint> stopAt; ///< Set while stopping: when callers' cached answers have ended.
   bool stopReported = false;
   Now lastNow;
@@ -66,7 +67,8 @@
 Engine::Impl::PublishRoutes(Now aNow)
 {
   const uint64_t epoch = flow.Pools().Epoch();
-  if (aNow.monotonic < nextRoutes || routeEpoch == epoch || !fleet.Ready())
+  const bool serving = fleet.Serving(aNow.monotonic);
+  if (aNow.monotonic < nextRoutes || (routeEpoch == epoch && routesSettled) || !serving)
     return;
   nextRoutes = aNow.monotonic + kRoutePeriod;
   routeEpoch = epoch;
@@ -74,7 +76,10 @@
   inputs.region = context.Self().region;
   inputs.failureDomain = context.Self().failureDomain;
   inputs.regionsByLatency = fleet.Members().RegionsByLatency();
-  inputs.vms = fleet.UsableVms(aNow.wall);
+  inputs.vms = fleet.ServingVms(aNow.wall);
+  routesSettled = inputs.vms.size() == fleet.UsableVms(aNow.wall).size();
+  if (inputs.vms.empty())
+    inputs.vms = fleet.UsableVms(aNow.wall);
   const std::set<VmId> leaving = fleet.LeavingVms(aNow.wall);
   for (const MemberUpdate& member : fleet.Members().Live()) {
     if (leaving.contains(member.vm.id))
@@ -218,7 +223,7 @@
 {
   const Now now = impl_->lastNow;
   EngineStatus status;
-  status.ready = impl_->fleet.Ready();
+  status.ready = impl_->fleet.Serving(now.monotonic);
   status.stopping = impl_->stopAt.has_value();
   status.members = impl_->fleet.Members().Members();
   status.members.push_back(impl_->fleet.Members().Self());
--- a/lib/Engine/FleetControl.cpp
+++ b/lib/Engine/FleetControl.cpp
@@ -104,6 +104,12 @@
     context_.hooks.sendStream(*vm, aMessage);
 }
 
+bool
+FleetControl::Serving(TimePoint aNow) const
+{
+  return Ready() && joined_ && aNow - startedAt_ >= ShareOptions().startHold;
+}
+
 const Vm*
 FleetControl::FindVm(const VmId& aVm) const
 {
@@ -295,6 +301,19 @@
   return usable;
 }
 
+std::vector<Vm>
+FleetControl::ServingVms(WallTime aNow) const
+{
+  std::vector<Vm> serving = UsableVms(aNow);
+  const uint64_t now = static_cast<uint64_t>(aNow.time_since_epoch().count());
+  const auto hold = std::chrono::duration_cast<std::chrono::milliseconds>(ShareOptions().startHold);
+  std::erase_if(serving, [&](const Vm& aVm) {
+    const MemberUpdate* member = membership_.Find(aVm.id);
+    return member && member->startedAtMs + static_cast<uint64_t>(hold.count()) > now;
+  });
+  return serving;
+}
+
 std::set<VmId>
 FleetControl::LeavingVms(WallTime aNow) const
 {
--- a/lib/Engine/FleetControl.h
+++ b/lib/Engine/FleetControl.h
@@ -47,6 +47,9 @@
   /// Whether this VM knows enough members to take over pools: a VM that has just started knows only
   /// itself and would take all pools from their owners.
   bool Joined() const { return joined_; }
+  /// Whether callers should be sent here: lists are in force, members are known, and the shares of
+  /// the VM's earlier run have ended, so that plan limits do not refuse everything.
+  bool Serving(TimePoint aNow) const;
   const FleetLists& Lists() const { return *lists_.Lists(); }
   const Membership& Members() const { return membership_; }
   ShareBook& Shares() { return shares_; }
@@ -56,6 +59,8 @@
   const Vm* FindVm(const VmId& aVm) const;
   /// Live VMs that neither leave nor drain by plan; this VM included unless it is leaving.
   std::vector<Vm> UsableVms(WallTime aNow) const;
+  /// Usable VMs without those that started a moment ago and do not serve yet.
+  std::vector<Vm> ServingVms(WallTime aNow) const;
   /// VMs that are live but take no new pools, or have left.
   std::set<VmId> LeavingVms(WallTime aNow) const;
 
