--- a/include/dragonflymoor/Dispatch/PoolOwnership.h
+++ b/include/dragonflymoor/Dispatch/PoolOwnership.h
@@ -47,8 +47,8 @@
 {
   NotMine,
   RemoteWait,     ///< Remote owner that waits before it starts; nothing is dispatched.
-  RemoteTakeOver, ///< Remote owner: at most half of the slots.
-  TakingOver,     ///< New owner: half of the slots, less what servers report in excess.
+  RemoteTakeOver, ///< Remote owner: as TakingOver, for as long as it is remote.
+  TakingOver,     ///< New owner: half of the slots, or less if servers report fewer free ones.
   HandedOver,     ///< New owner after one that has left: the slots that servers report as free.
   Mine,
 };
--- a/include/dragonflymoor/Dispatch/ServerPool.h
+++ b/include/dragonflymoor/Dispatch/ServerPool.h
@@ -36,8 +36,9 @@
   Duration ejectionTime = 5s;   ///< Doubled for each further ejection.
   Duration maxEjectionTime = 60s;
   Duration shedHold = 1s; ///< The window regains one slot in this time after a shed.
-  /// After a hand-over nothing is sent to a server until its first report, for at most this time.
-  Duration handOverWait = 500ms;
+  /// A new owner sends nothing to a server until its first report shows what others have in flight
+  /// there, for at most this time; then it uses half of the slots.
+  Duration firstReportWait = 500ms;
 };
 
 /// State of one server for the status page.
--- a/lib/Dispatch/ServerPool.cpp
+++ b/lib/Dispatch/ServerPool.cpp
@@ -283,9 +283,11 @@
   const uint32_t slots = aServer.backend.slots;
   if (phase_ == PoolPhase::Mine)
     return slots;
-  if (phase_ == PoolPhase::HandedOver && !aServer.foreign)
-    return aNow - ownedSince_ < options_.handOverWait ? 0 : HalfOf(slots);
-  const uint32_t free = slots - std::min(slots, aServer.foreign.value_or(0));
+  if (!aServer.foreign && aNow - ownedSince_ < options_.firstReportWait)
+    return 0;
+  if (!aServer.foreign)
+    return HalfOf(slots);
+  const uint32_t free = slots - std::min(slots, *aServer.foreign);
   return phase_ == PoolPhase::HandedOver ? free : std::min(free, HalfOf(slots));
 }
 
--- a/unittests/Dispatch/OwnershipTest.cpp
+++ b/unittests/Dispatch/OwnershipTest.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr uint32_t kSlots = 5;
+constexpr size_t kBacklog = 10; ///< Waiting requests that make a flood.
 constexpr Duration kTick = 20ms;
 constexpr Duration kDetection = 1500ms; ///< Time until an unreachable VM counts as dead.
 constexpr Duration kAlone = 2s;         ///< Guard 1: wait of a VM that reaches no peer.
@@ -213,7 +214,7 @@
     const PoolPhase phase = node.ownership->Phase(node.pool->Site().pool, now_);
     node.pool->SetPhase(node.guarded ? PoolPhase::NotMine : phase, now_);
     Poll(node);
-    while (node.pool->Waiting(Rank::Urgent) < 2 * kSlots) {
+    while (node.pool->Waiting(Rank::Urgent) < kBacklog) {
       RequestHead head;
       head.id = RequestId{ ++lastId_ };
       head.rank = Rank::Urgent;
