Serve only with usable shares; carry the age of crash reports

Ruled out: a shorter hold, because loans of an earlier run may still be in use.

Change: a VM is ready, and named in route answers, only when it knows members and lists and its shares are in force. CrashReport::age travels on the wire.

--- a/lib/Engine/FleetControl.cpp
+++ b/lib/Engine/FleetControl.cpp
@@ -13,6 +13,9 @@
 /// A starting VM waits this long for members to become known, and longer when it hears of none.
 constexpr Duration kJoinTime = 1s;
 constexpr Duration kJoinAloneTime = 3s;
+/// After this time a VM serves although another VM of the roster has not confirmed it: what needs
+/// no share is still served.
+constexpr Duration kUnsettledTime = 10s;
 
 bool
 IsLive(MemberState aState)
@@ -107,7 +110,9 @@
 bool
 FleetControl::Serving(TimePoint aNow) const
 {
-  return Ready() && joined_ && aNow - startedAt_ >= ShareOptions().startHold;
+  const Duration age = aNow - startedAt_;
+  const bool shares = shares_.Settled() || age >= kUnsettledTime;
+  return Ready() && joined_ && shares && age >= ShareOptions().startHold;
 }
 
 const Vm*
--- a/lib/Wire/Codec.cpp
+++ b/lib/Wire/Codec.cpp
@@ -246,8 +246,11 @@
 auto
 Pack(FlatBufferBuilder& aBuilder, const CrashReport& aReport)
 {
-  return wire::CreateCrashReport(
-    aBuilder, aReport.reportId, Text(aBuilder, aReport.workspace.Value()), aReport.fingerprint);
+  return wire::CreateCrashReport(aBuilder,
+                                 aReport.reportId,
+                                 Text(aBuilder, aReport.workspace.Value()),
+                                 aReport.fingerprint,
+                                 aReport.age.count());
 }
 
 auto
@@ -507,7 +510,8 @@
   {
     return { .reportId = aIn.report_id(),
              .workspace = WorkspaceId(aIn.workspace()->str()),
-             .fingerprint = aIn.fingerprint() };
+             .fingerprint = aIn.fingerprint(),
+             .age = NonNegative(aIn.age_us(), "age") };
   }
 
   ListRequest Read(const wire::ListRequest& aIn)
--- a/lib/Wire/messages_generated.h
+++ b/lib/Wire/messages_generated.h
@@ -2006,7 +2006,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REPORT_ID = 4,
     VT_WORKSPACE = 6,
-    VT_FINGERPRINT = 8
+    VT_FINGERPRINT = 8,
+    VT_AGE_US = 10
   };
   uint64_t report_id() const {
     return GetField<uint64_t>(VT_REPORT_ID, 0);
@@ -2017,12 +2018,16 @@
   uint64_t fingerprint() const {
     return GetField<uint64_t>(VT_FINGERPRINT, 0);
   }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REPORT_ID, 8) &&
            VerifyOffsetRequired(verifier, VT_WORKSPACE) &&
            verifier.VerifyString(workspace()) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -2040,6 +2045,9 @@
   void add_fingerprint(uint64_t fingerprint) {
     fbb_.AddElement<uint64_t>(CrashReport::VT_FINGERPRINT, fingerprint, 0);
   }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(CrashReport::VT_AGE_US, age_us, 0);
+  }
   explicit CrashReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2056,8 +2064,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t report_id = 0,
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
-    uint64_t fingerprint = 0) {
+    uint64_t fingerprint = 0,
+    int64_t age_us = 0) {
   CrashReportBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
   builder_.add_fingerprint(fingerprint);
   builder_.add_report_id(report_id);
   builder_.add_workspace(workspace);
@@ -2068,13 +2078,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t report_id = 0,
     const char *workspace = nullptr,
-    uint64_t fingerprint = 0) {
+    uint64_t fingerprint = 0,
+    int64_t age_us = 0) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return dfm::wire::CreateCrashReport(
       _fbb,
       report_id,
       workspace__,
-      fingerprint);
+      fingerprint,
+      age_us);
 }
 
 struct ListRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/unittests/Wire/CodecTest.cpp
+++ b/unittests/Wire/CodecTest.cpp
@@ -183,7 +183,8 @@
     case 9:
       return CrashReport{ .reportId = AnyNumber(),
                           .workspace = WorkspaceId(AnyText()),
-                          .fingerprint = AnyNumber() };
+                          .fingerprint = AnyNumber(),
+                          .age = AnyDuration() };
     case 10:
       return ListRequest{ .list = AnyEnumerator(ListName::Roster), .atLeast = AnyNumber() };
     case 11:
