Move requests to another region before they miss their deadline

Cause: a flood in one region was never moved: requests expired in a queue that never filled, plan limits and link budgets did not report their demand for shares, and the limit of remote work of a pool with less than 10 slots stayed below one request.

Ruled out: moving at the first queued request; the way to another region and back (40 ms) costs more than a short queue.

Change: a pool whose expected wait is over half of the time left is passed over for another region; RequestFlow reports demand on each tick; remote work may always grow by one request. unittests/Engine/LoadTest.cpp drives a flood in one region, a link cap under kills and pauses, and a fleet-wide plan limit.

--- a/lib/Engine/RequestFlow.cpp
+++ b/lib/Engine/RequestFlow.cpp
@@ -14,6 +14,9 @@
 /// Time after the deadline in which a peer's reply may still arrive.
 constexpr Duration kForwardGrace = 100ms;
 constexpr size_t kCrashTellers = 2; ///< VMs that repeat crash reports to one that starts.
+/// A queue whose expected wait is a larger part of the time left is passed over for another region.
+/// A shorter wait is better than the way to another region and back.
+constexpr double kLongWaitPart = 0.5;
 constexpr Duration kRetryAfterLow = 1s;
 constexpr Duration kRetryAfterHigh = 3s;
 
@@ -202,6 +205,8 @@
 void
 RequestFlow::OnTick(Now aNow)
 {
+  limiter_.OnTick(aNow.monotonic);
+  links_.OnTick(aNow.monotonic);
   pools_.OnTick(aNow);
   claimRouter_.OnTick(aNow);
   claimStore_.OnTick(aNow);
@@ -462,15 +467,26 @@
 std::optional<RequestFlow::Target>
 RequestFlow::ChooseTarget(Now aNow, const Flow& aFlow)
 {
-  if (auto local = ChooseIn(aNow, aFlow, context_.Self().region))
+  auto local = ChooseIn(aNow, aFlow, context_.Self().region);
+  if (local && !IsTooSlow(aNow, aFlow, *local))
     return local;
   if (!RemoteAllowed(aNow, aFlow))
-    return std::nullopt;
+    return local;
   for (const RegionId& region : fleet_.Members().RegionsByLatency()) {
-    if (auto remote = ChooseIn(aNow, aFlow, region))
+    auto remote = ChooseIn(aNow, aFlow, region);
+    if (remote && !IsTooSlow(aNow, aFlow, *remote))
       return remote;
   }
-  return std::nullopt;
+  return local;
+}
+
+bool
+RequestFlow::IsTooSlow(Now aNow, const Flow& aFlow, const Target& aTarget) const
+{
+  const Service* service = fleet_.Lists().FindService(aFlow.head.service);
+  const double queued = std::max(0.0, pools_.Load(aTarget.pool, aNow) - 1);
+  const double wait = queued * ToSeconds(service ? service->expectedTime : Duration{});
+  return wait > kLongWaitPart * ToSeconds(aFlow.head.deadline - aNow.monotonic);
 }
 
 std::optional<RequestFlow::Target>
--- a/lib/Engine/RequestFlow.h
+++ b/lib/Engine/RequestFlow.h
@@ -124,6 +124,8 @@
   void Route(Now aNow, RequestId aId);
   std::optional<Target> ChooseTarget(Now aNow, const Flow& aFlow);
   std::optional<Target> ChooseIn(Now aNow, const Flow& aFlow, const RegionId& aRegion);
+  /// Whether the queue of a pool is so long that the request would probably miss its deadline.
+  bool IsTooSlow(Now aNow, const Flow& aFlow, const Target& aTarget) const;
   bool RemoteAllowed(Now aNow, const Flow& aFlow) const;
   void EnqueueHere(Now aNow, Flow& aFlow, const PoolId& aPool);
   /// Reserves the link bytes of the answer to a request from another region.
--- a/lib/Links/RemoteAdmission.cpp
+++ b/lib/Links/RemoteAdmission.cpp
@@ -32,8 +32,10 @@
   // Nothing is gained by a gap between two calls.
   const double step = std::min(seconds, ToSeconds(kLongestStep));
   peak_ = std::max<double>(remote_, peak_ - growth * step);
-  // Unused allowance is not saved up: at most one second's growth above the recent use.
-  limit_ = std::min({ limit_ + growth * step, peak_ + growth, options_.maxUtilisation * slots });
+  // Unused allowance is not saved up: at most one second's growth above the recent use. A pool of
+  // less than 10 slots grows by one request at a time, or it would never take the first one.
+  const double headroom = std::max(1.0, growth);
+  limit_ = std::min({ limit_ + growth * step, peak_ + headroom, options_.maxUtilisation * slots });
   load_ = *aLoad;
   admittedSinceLoad_ = 0;
   lastLoad_ = aNow;
