Test guards 3 and 4 of pool ownership directly

Cause: trials without a guard showed that the fleet property alone does not cover all of them. Change: a direct test of guards 3 and 4 in virtual time.

--- a/unittests/Dispatch/OwnershipTest.cpp
+++ b/unittests/Dispatch/OwnershipTest.cpp
@@ -341,3 +341,39 @@
   cr_assert(ok);
   cr_assert(most > kSlots, "the histories made no conflict");
 }
+
+// Guards against a VM that keeps a pool against a better claim, and against a remote owner that
+// starts before the VMs of the region can be known to have stopped.
+Test(Ownership, YieldsToABetterClaimAndWaitsWhenRemote)
+{
+  const PoolSite site = MakePool({}, 1)->Site();
+  const auto vm = [](const char* aName, const char* aRegion, const char* aDomain) {
+    return Vm{ .id = VmId(aName),
+               .region = RegionId(aRegion),
+               .failureDomain = FailureDomainId(aDomain),
+               .callers = {},
+               .peers = {} };
+  };
+  const Vm self = vm("self", "r0", "d1");
+  const Vm local = vm("local", "r0", "d0");
+  const Vm remote = vm("remote", "r1", "d2");
+  const TimePoint start(1h);
+  PoolOwnership ownership(self);
+  ownership.SetPools({ site }, start);
+  ownership.SetMembers({ self, remote }, {}, start);
+  cr_assert(ownership.Phase(site.pool, start) == PoolPhase::TakingOver);
+  cr_assert(ownership.Phase(site.pool, start + 3s) == PoolPhase::Mine);
+  ownership.OnClaim(site.pool, remote, start + 4s);
+  cr_assert(ownership.Phase(site.pool, start + 4s) == PoolPhase::Mine, "a remote claim loses");
+  ownership.OnClaim(site.pool, local, start + 4s);
+  cr_assert(ownership.Phase(site.pool, start + 4s) == PoolPhase::NotMine);
+  cr_assert(ownership.Owner(site.pool, start + 4s) == local.id);
+  cr_assert(ownership.Phase(site.pool, start + 7s) == PoolPhase::TakingOver, "the claim lapsed");
+
+  PoolOwnership elsewhere(remote);
+  elsewhere.SetPools({ site }, start);
+  elsewhere.SetMembers({ self, remote }, {}, start);
+  elsewhere.SetMembers({ remote }, { self.id }, start + 1s);
+  cr_assert(elsewhere.Phase(site.pool, start + 10999ms) == PoolPhase::RemoteWait);
+  cr_assert(elsewhere.Phase(site.pool, start + 11s) == PoolPhase::RemoteTakeOver);
+}
