--- a/lib/Drains/Drains.cpp
+++ b/lib/Drains/Drains.cpp
@@ -106,7 +106,9 @@
   if (!known)
     fail("does not exist");
 
-  for (const auto& [key, capacity] : capacities) {
+  for (const auto& entry : capacities) {
+    const auto& key = entry.first;
+    const Capacity& capacity = entry.second;
     const auto use = std::find_if(aUse.begin(), aUse.end(), [&](const ServiceUse& aEntry) {
       return aEntry.service == key.first && aEntry.region == key.second;
     });
@@ -125,7 +127,9 @@
                      allowed,
                      kMaxUseAfterDrain * 100));
   }
-  for (const auto& [region, count] : vms) {
+  for (const auto& entry : vms) {
+    const RegionId& region = entry.first;
+    const Capacity& count = entry.second;
     const bool hasServers =
       std::any_of(capacities.begin(), capacities.end(), [&](const auto& aEntry) {
         return aEntry.first.second == region && aEntry.second.left > 0;
--- a/lib/Routing/RouteTableBuilder.cpp
+++ b/lib/Routing/RouteTableBuilder.cpp
@@ -72,14 +72,8 @@
   std::unordered_set<const Vm*> used_;
 };
 
-/// A pool and where it lies.
-struct Pool
-{
-  size_t distance = 0;
-  FailureDomainId failureDomain;
-
-  auto operator<=>(const Pool&) const = default;
-};
+/// Distance and failure domain of a pool.
+using Pool = std::pair<size_t, FailureDomainId>;
 
 } // namespace
 
@@ -101,8 +95,8 @@
     });
   std::map<ServiceId, std::vector<Pool>> pools;
   for (const BackendServer& server : aLists.backends)
-    pools[server.service].push_back({ .distance = distances.Of(server.region, server.failureDomain),
-                                      .failureDomain = server.failureDomain });
+    pools[server.service].emplace_back(distances.Of(server.region, server.failureDomain),
+                                       server.failureDomain);
 
   RouteTable table;
   table.ttl = aInputs.ttl;
@@ -112,11 +106,10 @@
     std::vector<Pool>& own = pools[service.id];
     std::sort(own.begin(), own.end());
     own.erase(std::unique(own.begin(), own.end()), own.end());
-    for (const Pool& pool : own) {
+    for (const auto& [distance, domain] : own) {
       if (row.Full())
         break;
-      const auto owner =
-        aInputs.ownerOf({ .service = service.id, .failureDomain = pool.failureDomain });
+      const auto owner = aInputs.ownerOf({ .service = service.id, .failureDomain = domain });
       const auto vm = owner ? byId.find(*owner) : byId.end();
       if (vm != byId.end())
         row.Add(*vm->second);
