Resume paused VMs of the simulated fleet in either order

A process may tick before or after it reads what waited in its sockets. Now the order is random, and a test checks the members right after the first tick.

--- a/unittests/Config/SimulatedFleet.h
+++ b/unittests/Config/SimulatedFleet.h
@@ -111,18 +111,33 @@
 
   void Kill(size_t aIndex) { nodes[aIndex].running = false; }
 
-  /// A paused process ticks once before it reads what waited in its sockets.
+  /// A paused process may tick before or after it reads what waited in its sockets.
   void Resume(size_t aIndex)
   {
     Node& node = nodes[aIndex];
     if (!node.running || !node.paused)
       return;
     node.paused = false;
-    Tick(node);
+    if (random_.Below(2) == 0)
+      Tick(node);
     for (auto& event : std::exchange(node.waiting, {}))
       event();
   }
 
+  void Tick(Node& aNode)
+  {
+    // The platform names every VM, also those that are down; it is asked rarely.
+    if (now_ >= aNode.nextVmList) {
+      aNode.nextVmList = now_ + 2s;
+      std::vector<PlatformVm> vms;
+      for (const Node& node : nodes)
+        vms.push_back({ .vm = node.vm });
+      aNode.membership->OnVmList(Time(), vms);
+    }
+    aNode.membership->OnTick(Time());
+    aNode.keeper->OnTick(Time());
+  }
+
   void RunFor(Duration aDuration)
   {
     const TimePoint end = now_ + aDuration;
@@ -170,20 +185,6 @@
     }
   };
 
-  void Tick(Node& aNode)
-  {
-    // The platform names every VM, also those that are down; it is asked rarely.
-    if (now_ >= aNode.nextVmList) {
-      aNode.nextVmList = now_ + 2s;
-      std::vector<PlatformVm> vms;
-      for (const Node& node : nodes)
-        vms.push_back({ .vm = node.vm });
-      aNode.membership->OnVmList(Time(), vms);
-    }
-    aNode.membership->OnTick(Time());
-    aNode.keeper->OnTick(Time());
-  }
-
   void After(Duration aDelay, std::function<void()> aRun)
   {
     events_.push({ now_ + aDelay, order_++, std::move(aRun) });
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -158,10 +158,12 @@
   node.paused = true;
   machine.fleet.HealNetwork();
   machine.fleet.RunFor(10s);
+  machine.fleet.Tick(node);
+  cr_assert(node.membership->Live().size() == kVmCount);
   machine.fleet.Resume(0);
   for (int i = 0; i < 200; ++i) {
-    cr_assert(node.membership->Live().size() == kVmCount);
     machine.fleet.RunFor(kTick);
+    cr_assert(node.membership->Live().size() == kVmCount);
   }
   cr_assert(machine.Wrong().empty(), "%s", machine.Wrong().c_str());
 }
