--- a/tools/slopes/Fit.h
+++ b/tools/slopes/Fit.h
@@ -34,6 +34,12 @@
 MeasureListParse(bool aQuick);
 void
 MeasureRouteTable(bool aQuick);
+void
+MeasureShares(bool aQuick);
+void
+MeasureClaims(bool aQuick);
+void
+MeasureDispatch(bool aQuick);
 
 } // namespace dfm::slopes
 
--- a/tools/slopes/main.cpp
+++ b/tools/slopes/main.cpp
@@ -4,7 +4,10 @@
 #include <gflags/gflags.h>
 
 // NOLINTBEGIN(readability-identifier-naming): gflags derives the names of the variables.
-DEFINE_string(only, "", "Run one measurement: blocks, membership, changes, parse or routes.");
+DEFINE_string(
+  only,
+  "",
+  "Run one measurement: blocks, membership, changes, parse, routes, shares, claims, dispatch.");
 DEFINE_bool(quick, false, "Use smaller sizes, for a check that the program runs.");
 // NOLINTEND(readability-identifier-naming)
 
@@ -24,6 +27,9 @@
     { .name = "changes", .run = dfm::slopes::MeasureListChange },
     { .name = "parse", .run = dfm::slopes::MeasureListParse },
     { .name = "routes", .run = dfm::slopes::MeasureRouteTable },
+    { .name = "shares", .run = dfm::slopes::MeasureShares },
+    { .name = "claims", .run = dfm::slopes::MeasureClaims },
+    { .name = "dispatch", .run = dfm::slopes::MeasureDispatch },
   };
   bool ran = false;
   for (const Measurement& measurement : measurements) {
