--- a/unittests/Operator/OperatorTest.cpp
+++ b/unittests/Operator/OperatorTest.cpp
@@ -7,7 +7,9 @@
 #include <criterion/parameterized.h>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <rapidcheck.h>
 
@@ -274,3 +276,14 @@
   for (const char* text : { "", "host:80", "192.0.2.1", "192.0.2.1:0", "192.0.2.1:x", "::1:80" })
     cr_assert(!ParseEndpoint(text), "%s", text);
 }
+
+// Guards against a reason that operators meet in counters and headers but not in their manual.
+Test(Manual, ExplainsEveryReason)
+{
+  std::ifstream file(DFM_SOURCE_DIR "/docs/operators.md");
+  const std::string manual(std::istreambuf_iterator<char>(file), {});
+  for (size_t i = 0; i < kReasonCount; ++i) {
+    const auto row = fmt::format("\n| `{}` | ", ToString(static_cast<Reason>(i)));
+    cr_assert(manual.find(row) != std::string::npos, "%s", row.c_str());
+  }
+}
