Bound the puts of all claims objects of a VM

Callers choose the creation time of an order and thereby the claims object. A caller that spreads it over the retention made one put for each order, up to 360 windows x 8 shards, which is more than the store sustains. A VM now starts at most 125 puts a second for all objects together (burst 16); the objects take turns.

Ruled out: serving the newest window first, which starves resends.

The test of at-most-once execution no longer runs 70 min of virtual ticks; a command freezes the whole world instead, so that messages and timers come up to 79 min late.

--- a/include/dragonflymoor/Orders/ClaimStore.h
+++ b/include/dragonflymoor/Orders/ClaimStore.h
@@ -29,7 +29,11 @@
 
 struct ClaimStoreOptions
 {
-  Duration writeInterval = 50ms;   ///< At most one put for each object in this time.
+  Duration writeInterval = 50ms; ///< At most one put for each object in this time.
+  /// Puts of this VM for all objects together. Callers choose the creation time and thereby the
+  /// object; without this bound, one that spreads it would make one put for each order.
+  double putsPerSecond = 125;
+  double putBurst = 16;
   Duration submitTimeout = 1500ms; ///< After this time a claim is reported as not answered.
   Duration callTimeout = 1s;       ///< A call without result for this time counts as unanswered.
   Duration retryDelay = 50ms;      ///< Pause after an unanswered call; doubles up to the maximum.
@@ -107,6 +111,7 @@
     Duration retryDelay{};
   };
 
+  void PumpAll(Now aNow);
   void Pump(Now aNow, Object& aObject);
   void StartCall(Now aNow, Object& aObject, const StoreCall& aCall);
   void StartGet(Now aNow, Object& aObject);
@@ -127,6 +132,9 @@
   std::map<ObjectKey, Object> objects_;
   std::map<StoreCallId, ObjectKey> calls_;
   std::map<uint32_t, uint64_t> nextDeletion_; ///< By shard: the oldest window not yet deleted.
+  ObjectKey nextPump_;  ///< Object that is served first, so that all get their turn.
+  double putsLeft_ = 0; ///< Puts that may start now.
+  TimePoint putsCountedAt_;
   uint32_t nextDeleteShard_ = 0;
   std::set<StoreCallId> deletions_; ///< Calls whose result does not matter.
   TimePoint nextDeleteAt_;
--- a/lib/Orders/ClaimStore.cpp
+++ b/lib/Orders/ClaimStore.cpp
@@ -40,6 +40,7 @@
 ClaimStore::ClaimStore(ClaimStoreOptions aOptions, ClaimStoreHooks aHooks)
   : options_(aOptions)
   , hooks_(std::move(aHooks))
+  , putsLeft_(aOptions.putBurst)
 {
   assert(hooks_.callStore && hooks_.decided && hooks_.deletesShard && hooks_.count &&
          "hook missing");
@@ -102,12 +103,22 @@
       object.call.reset();
       OnNoAnswer(aNow, object);
     }
-    Pump(aNow, object);
   }
+  PumpAll(aNow);
   DropOldObjects(aNow);
   DeleteOldWindows(aNow);
 }
 
+void
+ClaimStore::PumpAll(Now aNow)
+{
+  const ObjectKey start = nextPump_;
+  for (auto it = objects_.lower_bound(start); it != objects_.end(); ++it)
+    Pump(aNow, it->second);
+  for (auto it = objects_.begin(); it != objects_.end() && it->first < start; ++it)
+    Pump(aNow, it->second);
+}
+
 void
 ClaimStore::Pump(Now aNow, Object& aObject)
 {
@@ -117,8 +128,16 @@
     StartGet(aNow, aObject);
     return;
   }
-  if (aNow.monotonic >= aObject.nextPut)
-    StartPut(aNow, aObject);
+  if (aNow.monotonic < aObject.nextPut)
+    return;
+  const double earned = ToSeconds(aNow.monotonic - putsCountedAt_) * options_.putsPerSecond;
+  putsLeft_ = std::min(putsLeft_ + earned, options_.putBurst);
+  putsCountedAt_ = aNow.monotonic;
+  if (putsLeft_ < 1)
+    return;
+  putsLeft_ -= 1;
+  nextPump_ = { aObject.key.first, aObject.key.second + 1 };
+  StartPut(aNow, aObject);
 }
 
 void
--- a/unittests/Orders/AtMostOnceTest.cpp
+++ b/unittests/Orders/AtMostOnceTest.cpp
@@ -27,6 +27,7 @@
     Store,
     View,
     Faults,
+    Freeze,
     Wait,
   };
   Kind kind = Kind::Wait;
@@ -54,6 +55,7 @@
                                                      { 3, Kind::Store },
                                                      { 2, Kind::View },
                                                      { 1, Kind::Faults },
+                                                     { 1, Kind::Freeze },
                                                      { 12, Kind::Wait } });
   return rc::gen::build<Command>(rc::gen::set(&Command::kind, kind),
                                  rc::gen::set(&Command::a, rc::gen::inRange<uint32_t>(0, 1000)),
@@ -93,9 +95,12 @@
       return aWorld.SetView(vm, aCommand.b % 8);
     case Kind::Faults:
       return aWorld.SetFaults(aCommand.b % 2 == 0 ? 0.0 : 0.25);
+    case Kind::Freeze:
+      // From a short stall of everything to more than the retention.
+      return aWorld.Freeze(aCommand.b % 2 == 0 ? Duration(2s) : Duration(1min) * (aCommand.b % 80));
     case Kind::Wait:
-      // Most waits are short, so that copies overlap; a few reach past the retention.
-      return aWorld.Run(aCommand.b == 0 ? Duration(70min) : Duration(1ms) * (aCommand.b % 400));
+      // Most waits are short, so that copies overlap.
+      return aWorld.Run(Duration(1ms) * (aCommand.b % 400));
   }
 }
 
--- a/unittests/Orders/OrdersTest.cpp
+++ b/unittests/Orders/OrdersTest.cpp
@@ -214,6 +214,52 @@
   cr_assert(deletions >= 7 && deletions <= 9, "%zu deletions in 4 s", deletions);
 }
 
+// Guards against a caller that makes one put for each order by spreading its creation times, and
+// against objects that never get their turn.
+Test(ClaimStore, BoundsThePutsOfAllObjects)
+{
+  size_t puts = 0;
+  std::vector<std::pair<StoreCallId, StoreCall>> calls;
+  size_t held = 0;
+  ClaimStore store(ClaimStoreOptions{ .submitTimeout = 1h },
+                   ClaimStoreHooks{ .callStore =
+                                      [&](const StoreCall& aCall) {
+                                        puts += aCall.kind == StoreCall::Kind::Put ? 1 : 0;
+                                        calls.emplace_back(StoreCallId{ calls.size() + 1 }, aCall);
+                                        return calls.back().first;
+                                      },
+                                    .decided =
+                                      [&](Now, ClaimTicket, const ClaimVerdict& aVerdict) {
+                                        held += aVerdict.storeAnswered ? 1 : 0;
+                                      },
+                                    .deletesShard = [](uint32_t) { return false; },
+                                    .count = [](std::string_view) {} });
+  constexpr uint64_t kWindows = 340;
+  for (uint64_t i = 0; i < kWindows; ++i)
+    store.Submit(At(0s), ClaimTicket{ i }, ClaimWindowOf(kWall) - i, Claim{ .claimer = kSelf });
+  size_t answered = 0;
+  for (Duration time = 0ms; time < 1s; time += 20ms) {
+    for (; answered < calls.size(); ++answered) {
+      const bool put = calls[answered].second.kind == StoreCall::Kind::Put;
+      store.OnStoreResult(At(time),
+                          calls[answered].first,
+                          StoreResult{ .status = put ? StoreStatus::Ok : StoreStatus::NotFound,
+                                       .version = put ? 1U : 0U,
+                                       .content = "" });
+    }
+    store.OnTick(At(time));
+  }
+  cr_assert(puts >= 120 && puts <= 141, "%zu puts in 1 s", puts);
+  for (Duration time = 1s; time < 4s; time += 20ms) {
+    store.OnTick(At(time));
+    for (; answered < calls.size(); ++answered)
+      store.OnStoreResult(At(time),
+                          calls[answered].first,
+                          StoreResult{ .status = StoreStatus::Ok, .version = 1, .content = "" });
+  }
+  cr_assert(held == kWindows, "%zu of %zu claims", held, static_cast<size_t>(kWindows));
+}
+
 // Guards against a reply for another key, or of an earlier run, that decides a claim.
 Test(ClaimRouter, IgnoresRepliesThatAreNotForItsClaim)
 {
--- a/unittests/Orders/World.cpp
+++ b/unittests/Orders/World.cpp
@@ -230,6 +230,19 @@
     AtVm(aVm, 0ms, run);
 }
 
+void
+World::Freeze(Duration aTime)
+{
+  now_ += aTime;
+  std::priority_queue<Event> later;
+  for (; !events_.empty(); events_.pop()) {
+    Event event = events_.top();
+    event.at += aTime;
+    later.push(std::move(event));
+  }
+  events_ = std::move(later);
+}
+
 StoreResult
 World::Apply(const StoreCall& aCall)
 {
--- a/unittests/Orders/World.h
+++ b/unittests/Orders/World.h
@@ -44,6 +44,8 @@
   /// Probability that a backend server or connection fails.
   void SetFaults(double aProbability) { faults_ = aProbability; }
   void Run(Duration aTime);
+  /// Lets time pass in which nothing happens at all: every message and timer comes that much later.
+  void Freeze(Duration aTime);
 
   size_t OrderCount() const { return orders_.size(); }
   size_t RunCount() const { return runs_; }
