Split the request flow: claims, pool choice and paced answers

Change: ClaimPath, TargetChooser and PacedReplies are classes of their own in lib/Engine; behaviour stays.

--- a/lib/Engine/RequestFlow.cpp
+++ b/lib/Engine/RequestFlow.cpp
@@ -9,14 +9,9 @@
 
 namespace {
 
-/// A forward to another region needs this much time before the deadline, besides the service time.
-constexpr Duration kRemoteRoundTrip = 40ms;
 /// Time after the deadline in which a peer's reply may still arrive.
 constexpr Duration kForwardGrace = 100ms;
 constexpr size_t kCrashTellers = 2; ///< VMs that repeat crash reports to one that starts.
-/// A queue whose expected wait is a larger part of the time left is passed over for another region.
-/// A shorter wait is better than the way to another region and back.
-constexpr double kLongWaitPart = 0.5;
 constexpr Duration kRetryAfterLow = 1s;
 constexpr Duration kRetryAfterHigh = 3s;
 
@@ -38,10 +33,13 @@
   , retryPolicy_({}, retryBudget_)
   , crashes_({}, aContext.random.Next())
   , pools_(aContext, aFleet, MakePoolHooks())
-  , claimStore_({}, MakeClaimStoreHooks())
-  , claimRouter_({ .self = aContext.SelfInstance(), .storeRegion = aContext.options.storeRegion },
-                 MakeRouterHooks(),
-                 aContext.random.Next())
+  , targets_(aContext, aFleet, pools_)
+  , claims_(aContext,
+            aFleet,
+            [this](Now aNow, ClaimTicket aTicket, const ClaimVerdict& aVerdict) {
+              ledger_.OnClaimDecided(aNow, aTicket, aVerdict);
+            })
+  , paced_(links_, aContext.hooks.reply)
   , ledger_({ .self = aContext.SelfInstance() }, MakeLedgerHooks())
 {
 }
@@ -52,7 +50,7 @@
   return {
     .requestClaim =
       [this](Now aNow, ClaimTicket aTicket, uint64_t aWindow, const Claim& aClaim) {
-        claimRouter_.RequestClaim(aNow, aTicket, aWindow, aClaim);
+        claims_.Request(aNow, aTicket, aWindow, aClaim);
       },
     .proceed = [this](Now, RequestId aId) { deferred_.push_back({ .id = aId }); },
     .withdraw =
@@ -86,40 +84,6 @@
   };
 }
 
-ClaimRouterHooks
-RequestFlow::MakeRouterHooks()
-{
-  return { .sendRequest =
-             [this](const Vm& aVm, const ClaimRequest& aRequest) {
-               context_.hooks.sendStream(aVm, aRequest);
-             },
-           .sendReply =
-             [this](const VmId& aVm, const ClaimReply& aReply) {
-               if (const Vm* vm = fleet_.FindVm(aVm))
-                 context_.hooks.sendStream(*vm, aReply);
-             },
-           .submit =
-             [this](Now aNow, ClaimTicket aTicket, uint64_t aWindow, const Claim& aClaim) {
-               claimStore_.Submit(aNow, aTicket, aWindow, aClaim);
-             },
-           .decided =
-             [this](Now aNow, ClaimTicket aTicket, const ClaimVerdict& aVerdict) {
-               ledger_.OnClaimDecided(aNow, aTicket, aVerdict);
-             } };
-}
-
-ClaimStoreHooks
-RequestFlow::MakeClaimStoreHooks()
-{
-  return { .callStore = [this](const StoreCall& aCall) { return context_.CallStore(aCall); },
-           .decided =
-             [this](Now aNow, ClaimTicket aTicket, const ClaimVerdict& aVerdict) {
-               claimRouter_.OnSubmitted(aNow, aTicket, aVerdict);
-             },
-           .deletesShard = [this](uint32_t aShard) { return claimRouter_.BatchesShard(aShard); },
-           .count = [this](std::string_view aName) { context_.hooks.count(aName, Reason::None); } };
-}
-
 PoolHostHooks
 RequestFlow::MakePoolHooks()
 {
@@ -167,7 +131,7 @@
 void
 RequestFlow::OnMembersChanged(Now aNow)
 {
-  claimRouter_.SetMembers(fleet_.Members().LiveNotLeaving());
+  claims_.OnMembersChanged();
   pools_.OnMembersChanged(aNow);
   Settle(aNow);
 }
@@ -208,12 +172,11 @@
   limiter_.OnTick(aNow.monotonic);
   links_.OnTick(aNow.monotonic);
   pools_.OnTick(aNow);
-  claimRouter_.OnTick(aNow);
-  claimStore_.OnTick(aNow);
+  claims_.OnTick(aNow);
   ledger_.OnTick(aNow);
   ExpireForwards(aNow);
   Settle(aNow);
-  SendPaced(aNow);
+  paced_.Send(aNow.monotonic);
 }
 
 void
@@ -389,7 +352,7 @@
     return GiveUp(aNow, flow, Reason::DeadlineExceeded);
   if (flow.head.forwardedBy && !flow.carrier)
     return RouteForwarded(aNow, flow);
-  while (const std::optional<Target> target = ChooseTarget(aNow, flow)) {
+  while (const std::optional<Target> target = targets_.Choose(aNow, QueryOf(flow))) {
     if (target->owner == context_.Self().id)
       return EnqueueHere(aNow, flow, target->pool);
     const Vm* vm = fleet_.FindVm(target->owner);
@@ -465,64 +428,6 @@
   return true;
 }
 
-bool
-RequestFlow::RemoteAllowed(Now aNow, const Flow& aFlow) const
-{
-  const Service* service = fleet_.Lists().FindService(aFlow.head.service);
-  return service && aNow.monotonic + kRemoteRoundTrip + service->expectedTime < aFlow.head.deadline;
-}
-
-std::optional<RequestFlow::Target>
-RequestFlow::ChooseTarget(Now aNow, const Flow& aFlow)
-{
-  auto local = ChooseIn(aNow, aFlow, context_.Self().region);
-  if (local && !IsTooSlow(aNow, aFlow, *local))
-    return local;
-  if (!RemoteAllowed(aNow, aFlow))
-    return local;
-  for (const RegionId& region : fleet_.Members().RegionsByLatency()) {
-    auto remote = ChooseIn(aNow, aFlow, region);
-    if (remote && !IsTooSlow(aNow, aFlow, *remote))
-      return remote;
-  }
-  return local;
-}
-
-bool
-RequestFlow::IsTooSlow(Now aNow, const Flow& aFlow, const Target& aTarget) const
-{
-  const Service* service = fleet_.Lists().FindService(aFlow.head.service);
-  const double queued = std::max(0.0, pools_.Load(aTarget.pool, aNow) - 1);
-  const double wait = queued * ToSeconds(service ? service->expectedTime : Duration{});
-  return wait > kLongWaitPart * ToSeconds(aFlow.head.deadline - aNow.monotonic);
-}
-
-std::optional<RequestFlow::Target>
-RequestFlow::ChooseIn(Now aNow, const Flow& aFlow, const RegionId& aRegion)
-{
-  std::optional<Target> best;
-  double bestLoad = 0;
-  for (const PoolSite& site : pools_.PoolsOf(aFlow.head.service)) {
-    if (site.region != aRegion || aFlow.triedPools.contains(site.pool))
-      continue;
-    const std::optional<VmId> owner = pools_.Owner(site.pool, aNow);
-    if (!owner)
-      continue;
-    const bool own = *owner == context_.Self().id;
-    if (own && !pools_.HasServer(site.pool, aFlow.triedServers))
-      continue;
-    // Equal loads are split at random; an own pool saves a hop and wins while it has free slots.
-    double load = pools_.Load(site.pool, aNow) + 0.05 * context_.random.Unit();
-    if (own && load < 1)
-      load /= 2;
-    if (!best || load < bestLoad) {
-      best = Target{ .pool = site.pool, .owner = *owner, .region = aRegion };
-      bestLoad = load;
-    }
-  }
-  return best;
-}
-
 void
 RequestFlow::EnqueueHere(Now aNow, Flow& aFlow, const PoolId& aPool)
 {
@@ -582,6 +487,15 @@
   return std::nullopt;
 }
 
+TargetQuery
+RequestFlow::QueryOf(const Flow& aFlow)
+{
+  return { .service = aFlow.head.service,
+           .deadline = aFlow.head.deadline,
+           .triedPools = aFlow.triedPools,
+           .triedServers = aFlow.triedServers };
+}
+
 RetryFacts
 RequestFlow::FactsOf(const Flow& aFlow) const
 {
@@ -622,7 +536,7 @@
   RetryFacts facts = FactsOf(*flow);
   const bool samePool = pools_.HasServer(ended->pool, flow->triedServers);
   facts.otherServer =
-    !abandoned && (samePool || (!flow->head.forwardedBy && ChooseTarget(aNow, *flow)));
+    !abandoned && (samePool || (!flow->head.forwardedBy && targets_.Choose(aNow, QueryOf(*flow))));
   facts.blocked = crashes_.IsBlocked(aNow.monotonic, flow->head.workspace, flow->head.fingerprint);
   const RetryDecision decision = retryPolicy_.Decide(aNow.monotonic, aResult.end, facts);
   flow->mayHaveRun |= !CertainlyNotRun(aResult.end);
@@ -685,7 +599,7 @@
     return;
   flow->triedPools.insert(flow->pool);
   RetryFacts facts = FactsOf(*flow);
-  facts.otherServer = !flow->callerGone && ChooseTarget(aNow, *flow).has_value();
+  facts.otherServer = !flow->callerGone && targets_.Choose(aNow, QueryOf(*flow)).has_value();
   const RetryDecision decision =
     retryPolicy_.DecideForward(aNow.monotonic, aReply.outcome, aReply.reason, facts);
   flow->mayHaveRun |= aReply.outcome == Outcome::Unknown;
@@ -762,15 +676,11 @@
 bool
 RequestFlow::OnStream(Now aNow, const VmId& aFrom, const StreamMessage& aMessage)
 {
-  if (const auto* request = std::get_if<ClaimRequest>(&aMessage))
-    claimRouter_.OnClaimRequest(aNow, aFrom, *request);
-  else if (const auto* reply = std::get_if<ClaimReply>(&aMessage))
-    claimRouter_.OnClaimReply(aNow, aFrom, *reply);
-  else if (const auto* crash = std::get_if<CrashReport>(&aMessage))
+  if (const auto* crash = std::get_if<CrashReport>(&aMessage))
     crashes_.OnReport(aNow.monotonic, *crash);
   else if (const auto* state = std::get_if<PoolState>(&aMessage))
     pools_.OnPoolState(aNow, aFrom, *state);
-  else
+  else if (!claims_.OnStream(aNow, aFrom, aMessage))
     return false;
   Settle(aNow);
   return true;
@@ -779,7 +689,7 @@
 bool
 RequestFlow::OnStoreResult(Now aNow, StoreCallId aCall, const StoreResult& aResult)
 {
-  if (!claimStore_.OnStoreResult(aNow, aCall, aResult))
+  if (!claims_.OnStoreResult(aNow, aCall, aResult))
     return false;
   Settle(aNow);
   return true;
@@ -832,7 +742,7 @@
   Release(aNow, *flow);
   flows_.erase(aId);
   if (paced)
-    SendPaced(aNow);
+    paced_.Send(aNow.monotonic);
   else if (!gone)
     context_.hooks.reply(aId, aReply);
 }
@@ -841,7 +751,7 @@
 RequestFlow::Pace(const Reply& aReply, Flow& aFlow, uint64_t aAnswerBytes)
 {
   const std::optional<RegionId> to = LinkToCaller(aFlow);
-  if (!to && !WaitsForAnswer(aReply, paced_))
+  if (!to && !paced_.MustWait(aReply))
     return false;
   PacedReply paced{ .id = aFlow.head.id,
                     .reply = aReply,
@@ -856,7 +766,7 @@
     paced.reserved = aFlow.reservedTo.has_value();
     aFlow.reservedTo.reset();
   }
-  paced_.push_back(std::move(paced));
+  paced_.Add(std::move(paced));
   return true;
 }
 
@@ -873,53 +783,6 @@
   return known ? from : std::nullopt;
 }
 
-bool
-RequestFlow::WaitsForAnswer(const Reply& aReply, const std::vector<PacedReply>& aPaced)
-{
-  // An answer can be repeated only after it was handed to the shell under its own number.
-  return aReply.source == AnswerSource::Remembered &&
-         std::any_of(aPaced.begin(), aPaced.end(), [&](const PacedReply& aOther) {
-           return aOther.id == aReply.remembered;
-         });
-}
-
-void
-RequestFlow::SendPaced(Now aNow)
-{
-  std::vector<PacedReply> waiting;
-  for (PacedReply& paced : std::exchange(paced_, {})) {
-    const bool ready = !WaitsForAnswer(paced.reply, waiting) && TakeLinkBytes(aNow, paced);
-    if (!ready && aNow.monotonic < paced.expires) {
-      waiting.push_back(std::move(paced));
-      continue;
-    }
-    // The sender has given the request up by then; its answer is still kept for repeats.
-    paced.reply.withheld = !ready;
-    if (!ready && paced.to)
-      links_.Release(*paced.to, paced.id);
-    context_.hooks.reply(paced.id, paced.reply);
-  }
-  paced_ = std::move(waiting);
-}
-
-bool
-RequestFlow::TakeLinkBytes(Now aNow, PacedReply& aPaced)
-{
-  if (!aPaced.to)
-    return true;
-  if (!aPaced.reserved) {
-    aPaced.reserved =
-      links_.TryReserve(*aPaced.to, aPaced.id, aPaced.rank, aPaced.bytesLeft, aNow.monotonic);
-  }
-  if (!aPaced.reserved)
-    return false;
-  aPaced.bytesLeft -= links_.TakeReserved(*aPaced.to, aPaced.id, aPaced.bytesLeft, aNow.monotonic);
-  if (aPaced.bytesLeft > 0)
-    return false;
-  links_.Release(*aPaced.to, aPaced.id);
-  return true;
-}
-
 void
 RequestFlow::Release(Now aNow, Flow& aFlow)
 {
--- a/lib/Engine/RequestFlow.h
+++ b/lib/Engine/RequestFlow.h
@@ -1,13 +1,14 @@
 #ifndef DRAGONFLYMOOR_LIB_ENGINE_REQUESTFLOW_H
 #define DRAGONFLYMOOR_LIB_ENGINE_REQUESTFLOW_H
 
+#include "ClaimPath.h"
 #include "EngineContext.h"
 #include "FleetControl.h"
+#include "PacedReplies.h"
 #include "PoolHost.h"
+#include "TargetChooser.h"
 #include "dragonflymoor/Admission/PlanLimiter.h"
 #include "dragonflymoor/Links/LinkBudget.h"
-#include "dragonflymoor/Orders/ClaimRouter.h"
-#include "dragonflymoor/Orders/ClaimStore.h"
 #include "dragonflymoor/Orders/OrderLedger.h"
 #include "dragonflymoor/Recovery/CrashRegistry.h"
 #include "dragonflymoor/Recovery/RetryBudget.h"
@@ -47,7 +48,7 @@
   /// From now on new requests of callers are refused; forwarded ones have been stopped before.
   void RefuseNew() { refuseNew_ = true; }
   /// Requests that have not been answered, or whose attempt still runs.
-  size_t InFlight() const { return flows_.size() + paced_.size(); }
+  size_t InFlight() const { return flows_.size() + paced_.Size(); }
 
   PoolHost& Pools() { return pools_; }
   const PoolHost& Pools() const { return pools_; }
@@ -82,33 +83,13 @@
     std::optional<RegionId> reservedTo; ///< Link with a reservation for the answer.
     Reason lastReason = Reason::NoServer;
   };
-  /// An answer to another region that waits for its link budget.
-  struct PacedReply
-  {
-    RequestId id;
-    Reply reply;
-    std::optional<RegionId> to; ///< Empty when it only waits for the answer that it repeats.
-    Rank rank = Rank::Normal;
-    TimePoint expires;
-    uint64_t bytesLeft = 0;
-    bool reserved = false; ///< Its bytes were reserved before the request was dispatched.
-  };
   /// A step that the ledger asked for while it was being called.
   struct Deferred
   {
     RequestId id;
     std::optional<VmInstance> claimer; ///< Set for a copy to pass on; else the order may proceed.
   };
-  struct Target
-  {
-    PoolId pool;
-    VmId owner;
-    RegionId region;
-  };
-
   OrderLedgerHooks MakeLedgerHooks();
-  ClaimRouterHooks MakeRouterHooks();
-  ClaimStoreHooks MakeClaimStoreHooks();
   PoolHostHooks MakePoolHooks();
 
   void Settle(Now aNow);
@@ -122,11 +103,6 @@
   void Refuse(Now aNow, const RequestHead& aHead, Reason aReason);
 
   void Route(Now aNow, RequestId aId);
-  std::optional<Target> ChooseTarget(Now aNow, const Flow& aFlow);
-  std::optional<Target> ChooseIn(Now aNow, const Flow& aFlow, const RegionId& aRegion);
-  /// Whether the queue of a pool is so long that the request would probably miss its deadline.
-  bool IsTooSlow(Now aNow, const Flow& aFlow, const Target& aTarget) const;
-  bool RemoteAllowed(Now aNow, const Flow& aFlow) const;
   void EnqueueHere(Now aNow, Flow& aFlow, const PoolId& aPool);
   /// Reserves the link bytes of the answer to a request from another region.
   bool ReserveAnswer(Now aNow, Flow& aFlow);
@@ -137,6 +113,7 @@
   /// Takes the request's bytes from the link budget when aTo is in another region.
   bool SpendLink(Now aNow, const Flow& aFlow, const Vm& aTo);
   std::optional<TimePoint> BeginAttempt(Now aNow, RequestId aId);
+  static TargetQuery QueryOf(const Flow& aFlow);
   RetryFacts FactsOf(const Flow& aFlow) const;
   bool Follow(Now aNow, Flow& aFlow, const RetryDecision& aDecision);
   void OnForwardOutcome(Now aNow, RequestId aId, const ForwardReply& aReply);
@@ -150,9 +127,6 @@
   void Release(Now aNow, Flow& aFlow);
   /// Puts an answer into paced_ when it has to wait; false when it may be sent now.
   bool Pace(const Reply& aReply, Flow& aFlow, uint64_t aAnswerBytes);
-  static bool WaitsForAnswer(const Reply& aReply, const std::vector<PacedReply>& aPaced);
-  bool TakeLinkBytes(Now aNow, PacedReply& aPaced);
-  void SendPaced(Now aNow);
   void ExpireForwards(Now aNow);
   void BroadcastCrash(const CrashReport& aReport);
   Duration RetryAfter();
@@ -168,12 +142,12 @@
   RetryPolicy retryPolicy_;
   CrashRegistry crashes_;
   PoolHost pools_;
-  ClaimStore claimStore_;
-  ClaimRouter claimRouter_;
+  TargetChooser targets_;
+  ClaimPath claims_;
+  PacedReplies paced_;
   OrderLedger ledger_;
   std::unordered_map<RequestId, Flow> flows_;
   std::set<std::pair<TimePoint, RequestId>> forwardDeadlines_;
-  std::vector<PacedReply> paced_;
   std::deque<Deferred> deferred_;
   std::vector<RequestId> blocked_; ///< Requests whose fingerprint was blocked while they waited.
   uint64_t answerBytes_ = 0;       ///< Size of the answer that the ledger is being told of.
