--- a/unittests/Dispatch/OwnershipTest.cpp
+++ b/unittests/Dispatch/OwnershipTest.cpp
@@ -376,4 +376,10 @@
   elsewhere.SetMembers({ remote }, { self.id }, start + 1s);
   cr_assert(elsewhere.Phase(site.pool, start + 10999ms) == PoolPhase::RemoteWait);
   cr_assert(elsewhere.Phase(site.pool, start + 11s) == PoolPhase::RemoteTakeOver);
+
+  PoolOwnership successor(self);
+  successor.SetPools({ site }, start);
+  successor.SetMembers({ self, local }, {}, start);
+  successor.SetMembers({ self }, { local.id }, start + 1s);
+  cr_assert(successor.Phase(site.pool, start + 2s) == PoolPhase::HandedOver);
 }
