Take pools over anew after a pause; poll servers at once

Cause: a VM that resumed after a pause kept the full slots of its pools although another VM may have owned them meanwhile (11 requests on 5 slots in the ownership property), and a new owner waited up to 500 ms for the first load reports.

Change: PoolHost reports the end of a pause to PoolOwnership and polls the servers of a pool in the tick in which it gets it.

--- a/lib/Engine/PoolHost.cpp
+++ b/lib/Engine/PoolHost.cpp
@@ -123,6 +123,8 @@
     if (phase == hosted.phase)
       continue;
     ++epoch_;
+    if (hosted.phase == PoolPhase::NotMine)
+      hosted.nextPoll = aNow.monotonic; // Nothing is dispatched before the servers' first reports.
     hosted.phase = phase;
     hosted.pool->SetPhase(phase, aNow.monotonic);
     if (phase != PoolPhase::NotMine)
@@ -132,9 +134,19 @@
   }
 }
 
+void
+PoolHost::CheckPause(Now aNow)
+{
+  // Another VM may have taken the pools meanwhile: this VM takes them over anew.
+  const bool paused = !fleet_.MayDispatch(aNow.monotonic);
+  if (std::exchange(paused_, paused) && !paused)
+    ownership_.OnPauseEnded(aNow.monotonic);
+}
+
 void
 PoolHost::OnTick(Now aNow)
 {
+  CheckPause(aNow);
   UpdatePhases(aNow);
   for (auto& [pool, hosted] : hosted_) {
     if (hosted.phase == PoolPhase::NotMine)
--- a/lib/Engine/PoolHost.h
+++ b/lib/Engine/PoolHost.h
@@ -119,6 +119,7 @@
 
   Hosted& Host(Now aNow, const PoolSite& aSite);
   void Configure(Hosted& aHosted, Now aNow, bool aWarm);
+  void CheckPause(Now aNow);
   void UpdatePhases(Now aNow);
   void UpdateDraining(Now aNow, Hosted& aHosted);
   void Dispatch(Now aNow, Hosted& aHosted);
@@ -139,6 +140,7 @@
   uint64_t lastAttempt_ = 0;
   uint64_t epoch_ = 0;
   bool listsSeen_ = false;
+  bool paused_ = false;
 };
 
 } // namespace dfm
