Run the Net tests under thread sanitizer

Cause: the shell passes objects between threads. Criterion's runner aborts under thread sanitizer, as it can't map its memory area there.

Ruled out: disabling address randomisation for the run; the runner then crashes in its child process.

The run found a race in /status, whose text was handed over on a thread other than that of the connection; it is now posted to the connection's thread.

--- a/include/dragonflymoor/Net/OperatorServer.h
+++ b/include/dragonflymoor/Net/OperatorServer.h
@@ -9,23 +9,23 @@
 
 namespace dfm {
 
-/// Sources of the operators' pages; all are called on the thread of the server.
+/// Sources of the operators' pages. They are called on the threads of the connections.
 struct OperatorPages
 {
   std::function<std::string()> metrics;
   std::function<bool()> healthy; ///< The control thread makes progress.
   std::function<bool()> ready;   ///< This VM accepts requests.
-  /// Gives the state as JSON later, on the executor of the server.
+  /// Gives the state as JSON later, on any thread.
   std::function<void(std::function<void(std::string)>)> status;
 };
 
-/// HTTP server for /metrics, /healthz, /readyz and /status. Belongs to one thread.
+/// HTTP server for /metrics, /healthz, /readyz and /status. Connections may be on any thread.
 class OperatorServer
 {
 public:
   explicit OperatorServer(OperatorPages aPages);
 
-  /// Serves a connection until it closes.
+  /// Serves a connection until it closes. Must be called on the thread of the socket.
   void Serve(tcp::socket aSocket);
 
 private:
--- a/lib/Net/OperatorServer.cpp
+++ b/lib/Net/OperatorServer.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -214,9 +215,11 @@
 OperatorServer::Status(asio::any_io_executor aExecutor)
 {
   const auto late = std::make_shared<LateText>(aExecutor);
-  pages_.status([late](std::string aText) {
-    late->text = std::move(aText);
-    late->timer.cancel();
+  pages_.status([late, aExecutor](std::string aText) {
+    asio::post(aExecutor, [late, text = std::move(aText)]() mutable {
+      late->text = std::move(text);
+      late->timer.cancel();
+    });
   });
   co_await late->timer.async_wait(kAwaitTuple);
   co_return std::move(late->text);
--- a/unittests/Net/TestServers.h
+++ b/unittests/Net/TestServers.h
@@ -50,6 +50,7 @@
     : handler_(std::move(aHandler))
     , acceptor_(context_, { asio::ip::make_address("127.0.0.1"), 0 })
     , endpoint_(FromTcp(acceptor_.local_endpoint()))
+    , listener_(acceptor_.native_handle())
     , accepting_([this] { Accept(); })
   {
   }
@@ -58,7 +59,6 @@
   {
     CloseListener();
     accepting_.join();
-    const std::scoped_lock lock(mutex_);
     for (Connection& connection : connections_) {
       ::shutdown(connection.socket.native_handle(), SHUT_RDWR);
       connection.thread.join();
@@ -88,8 +88,9 @@
 
   void CloseListener()
   {
+    const std::scoped_lock lock(mutex_);
     if (!closed_.exchange(true))
-      ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+      ::shutdown(listener_, SHUT_RDWR);
   }
 
   void Accept()
@@ -106,7 +107,9 @@
       Connection& connection = connections_.back();
       connection.thread = std::thread([this, &connection] { Serve(connection.socket); });
     }
+    const std::scoped_lock lock(mutex_);
     acceptor_.close();
+    listening_ = false;
   }
 
   void Serve(tcp::socket& aSocket)
@@ -122,7 +125,7 @@
       const Action action = handler_(request);
       if (action.closeListener) {
         CloseListener();
-        Eventually([this] { return !acceptor_.is_open(); });
+        Eventually([this] { return !listening_; });
       }
       asio::write(aSocket, asio::buffer(action.bytes), error);
       if (action.close)
@@ -135,6 +138,8 @@
   asio::io_context context_;
   tcp::acceptor acceptor_;
   Endpoint endpoint_;
+  const int listener_;
+  std::atomic<bool> listening_{ true };
   std::atomic<bool> closed_{ false };
   std::atomic<int> accepted_{ 0 };
   std::atomic<int> requests_{ 0 };
--- a/utils/test.sh
+++ b/utils/test.sh
@@ -9,6 +9,8 @@
 utils/lint.sh build
 cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DDFM_SANITIZE=address,undefined >/dev/null
 cmake --build build-asan
+cmake -S . -B build-tsan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DDFM_SANITIZE=thread >/dev/null
+cmake --build build-tsan --target NetTests
 
 if [ -s KNOWN-RED.txt ]; then
   echo "tests passed over, listed in KNOWN-RED.txt:"
@@ -16,4 +18,5 @@
 fi
 export ASAN_OPTIONS=detect_leaks=0
 ctest --test-dir build-asan --output-on-failure -j 5
+ctest --test-dir build-tsan --output-on-failure -R '^Net$'
 ctest --test-dir build --output-on-failure -j 5
