Let refused callers read why; test time limits

Cause: a socket that is closed with unread bytes resets the connection, so that a caller beyond a bound could lose the 503 that names it.

Ruled out: keeping refused connections in the count of connections; a flood of refused ones would then refuse all others.

--- a/include/dragonflymoor/Net/CallerServer.h
+++ b/include/dragonflymoor/Net/CallerServer.h
@@ -31,8 +31,9 @@
   BoundSettings bounds;
   std::shared_ptr<BodyBudget> budget;
   std::atomic<uint32_t> connections{ 0 };
-  std::atomic<uint32_t> unfinished{ 0 }; ///< Requests whose answer is not yet written.
-  std::atomic<bool> stopping{ false };   ///< Answers ask callers to close the connection.
+  std::atomic<uint32_t> refusedConnections{ 0 }; ///< Open only until the refusal is read.
+  std::atomic<uint32_t> unfinished{ 0 };         ///< Requests whose answer is not yet written.
+  std::atomic<bool> stopping{ false };           ///< Answers ask callers to close the connection.
   std::atomic<uint64_t> nextRequest{ 1 };
   std::string requestIdPrefix; ///< Makes request ids unique in the fleet.
 };
@@ -101,6 +102,8 @@
   /// Answers a request that could not be read, where an answer is possible.
   asio::awaitable<void> RejectUnread(Connection& aConnection, error_code aError);
   asio::awaitable<void> Discard(Connection& aConnection);
+  /// Answers a connection beyond the bound.
+  asio::awaitable<void> Refuse(Connection& aConnection);
 
   std::shared_ptr<CallerShared> shared_;
   CallerTimeouts timeouts_;
--- a/lib/Net/CallerServer.cpp
+++ b/lib/Net/CallerServer.cpp
@@ -45,18 +45,25 @@
 {
 public:
   explicit ConnectionCount(std::atomic<uint32_t>& aCount)
-    : count_(aCount)
+    : count_(&aCount)
     , before_(aCount.fetch_add(1))
   {
   }
-  ~ConnectionCount() { count_.fetch_sub(1); }
+  ~ConnectionCount() { Release(); }
   ConnectionCount(const ConnectionCount&) = delete;
   ConnectionCount& operator=(const ConnectionCount&) = delete;
 
   uint32_t Before() const { return before_; }
 
+  void Release()
+  {
+    if (count_ != nullptr)
+      count_->fetch_sub(1);
+    count_ = nullptr;
+  }
+
 private:
-  std::atomic<uint32_t>& count_;
+  std::atomic<uint32_t>* count_;
   const uint32_t before_;
 };
 
@@ -101,19 +108,15 @@
 asio::awaitable<void>
 CallerServer::Run(tcp::socket aSocket)
 {
-  const ConnectionCount count(shared_->connections);
+  ConnectionCount count(shared_->connections);
   error_code ignored;
   aSocket.set_option(tcp::no_delay(true), ignored);
   // Headers may arrive with bytes of the body behind them.
   const size_t bufferBytes = shared_->bounds.headerBytes + 2 * kReadBytes;
   Connection connection{ beast::tcp_stream(std::move(aSocket)), beast::flat_buffer(bufferBytes) };
   if (count.Before() >= shared_->bounds.connections) {
-    hooks_.count("connections-refused", Reason::None);
-    co_await Reject(connection,
-                    http::status::service_unavailable,
-                    "too many connections",
-                    Reason::QueueFull,
-                    false);
+    count.Release();
+    co_await Refuse(connection);
   } else {
     bool open = true;
     while (open)
@@ -122,6 +125,22 @@
   connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+asio::awaitable<void>
+CallerServer::Refuse(Connection& aConnection)
+{
+  hooks_.count("connections-refused", Reason::None);
+  // Refused connections are bounded too; beyond that they are closed without a word.
+  const ConnectionCount refused(shared_->refusedConnections);
+  if (refused.Before() >= shared_->bounds.connections)
+    co_return;
+  co_await Reject(aConnection,
+                  http::status::service_unavailable,
+                  "too many connections",
+                  Reason::QueueFull,
+                  false);
+  co_await Discard(aConnection);
+}
+
 asio::awaitable<error_code>
 CallerServer::ReadHeader(Connection& aConnection, Parser& aParser)
 {
@@ -160,6 +179,7 @@
                     "no memory for the body",
                     Reason::QueueFull,
                     false);
+    co_await Discard(aConnection);
     co_return false;
   }
   BodyReservation reservation(shared_->budget, reserve);
--- a/unittests/Net/DaemonTest.cpp
+++ b/unittests/Net/DaemonTest.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymoor/Net/Daemon.h"
 #include "StubEngine.h"
 #include "TestServers.h"
+#include "dragonflymoor/Net/Control.h"
 #include "dragonflymoor/Wire/Framing.h"
 #include <boost/asio/ip/udp.hpp>
 #include <criterion/criterion.h>
@@ -210,6 +211,64 @@
   cr_assert(first.Ask(HttpRequest(http::verb::get, "/v2", 11)).result_int() == 404);
 }
 
+namespace {
+
+struct SlowCase
+{
+  char bytes[80]; ///< What the caller sends before it falls silent.
+};
+
+} // namespace
+
+ParameterizedTestParameters(CallerServer, ClosesSlowConnections)
+{
+  static SlowCase cases[] = {
+    { "" },
+    { "GET /v1/route HTT" },
+    { "POST /v1/s/x HTTP/1.1\r\nContent-Length: 5\r\n\r\nab" },
+  };
+  return cr_make_param_array(SlowCase, cases, sizeof(cases) / sizeof(SlowCase));
+}
+
+// Guards against callers that hold connections and memory by sending nothing.
+ParameterizedTest(SlowCase* aCase, CallerServer, ClosesSlowConnections)
+{
+  using std::chrono::milliseconds;
+  auto shared = std::make_shared<CallerShared>();
+  shared->budget = std::make_shared<BodyBudget>(1000);
+  CallerHooks hooks;
+  hooks.count = [](std::string_view, Reason) {};
+  asio::io_context context;
+  const CallerTimeouts timeouts{ .idle = milliseconds(50),
+                                 .header = milliseconds(50),
+                                 .body = milliseconds(50) };
+  CallerServer server(shared, timeouts, hooks);
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.async_accept([&](error_code, tcp::socket aSocket) { server.Serve(std::move(aSocket)); });
+  TestCaller caller(FromTcp(acceptor.local_endpoint()));
+  caller.SendBytes(aCase->bytes);
+  context.run();
+  cr_assert(caller.IsClosed());
+  cr_assert(shared->connections == 0);
+  cr_assert(shared->budget->Used() == 0);
+}
+
+// Guards against kept answers that grow without bound, and against the loss of the newest ones.
+Test(KeptAnswers, DropsTheOldestBeyondTheBound)
+{
+  KeptAnswers kept(25);
+  for (uint64_t id = 1; id <= 3; ++id) {
+    auto answer = std::make_shared<StoredAnswer>();
+    answer->message.body() = "0123456789";
+    kept.Keep({ id }, std::move(answer));
+  }
+  cr_assert(kept.Find({ 1 }) == nullptr);
+  cr_assert(kept.Find({ 2 }) != nullptr);
+  cr_assert(kept.Find({ 3 }) != nullptr);
+  kept.Forget({ 2 });
+  cr_assert(kept.Find({ 2 }) == nullptr);
+}
+
 // Guards against bodies that together take more memory than the VM has.
 Test(Daemon, RefusesBodiesBeyondTheMemory)
 {
@@ -245,9 +304,7 @@
     cr_assert(answer["Dfm-Outcome"] == "answered");
     cr_assert(answer["X-Shelf"] == "12");
   }
-  HttpRequest head = ServiceRequest("/shelf");
-  head.method(http::verb::get);
-  cr_assert(caller.Ask(head).body() == "GET /shelf   ");
+  cr_assert(caller.Ask(ServiceRequest("/shelf")).body() == "GET /shelf   ");
 }
 
 // Guards against a rejection that claims "not run" after the request has left, and the reverse.
