Say not-run only when it is true; keep answers of orders without caller

The shell refused malformed copies of an order as not-run although another copy might run; a service's default deadline was never applied, so that requests without Dfm-Deadline-Ms were refused; the answer of an order whose caller had left was kept outside the engine's reply.

Ruled out: the check of Dfm-Created against the clock in the shell; its answer would be not-run, and ValidateOrderKey gives unknown. The test case of the shell for it is replaced by one for the outcome of refusals.

Change: refusals before the engine are unknown for copies with a key that are not the first, and for requests that can't be read. TimePoint() in a request head means the service's default deadline (two lines in RequestFlow). Replies for orders without caller keep the answer. Kept answers may take half of the memory for bodies.

--- a/include/dragonflymoor/Model/Request.h
+++ b/include/dragonflymoor/Model/Request.h
@@ -36,8 +36,8 @@
   WorkspaceId workspace;
   PlanId plan;
   ServiceId service;
-  Rank rank = Rank::Normal;
-  TimePoint deadline;
+  Rank rank = Rank::Normal;      ///< Urgent when the caller did not lower it.
+  TimePoint deadline;            ///< TimePoint() when the caller set none: the service's default.
   std::optional<OrderKey> order; ///< Set exactly for non-idempotent requests.
   bool firstCopy = false;        ///< The caller states that it sent no other copy.
   uint64_t fingerprint = 0;      ///< Hash of service, method, target and body.
--- a/include/dragonflymoor/Net/CallerRequest.h
+++ b/include/dragonflymoor/Net/CallerRequest.h
@@ -25,7 +25,12 @@
 /// caller did not set is Urgent, which lowers nothing; a deadline it did not set is TimePoint{}.
 /// The error is the text of the 400 answer and names the header. Safe to call from any thread.
 tl::expected<CallerRequest, std::string>
-ParseCallerRequest(const http::request_header<>& aHeader, const Now& aNow);
+ParseCallerRequest(const http::request_header<>& aHeader, TimePoint aNow);
+
+/// What may be said of a request that this VM refuses before the engine has seen it: another copy
+/// of an order may have run, unless the caller states that this is the first one.
+Outcome
+RefusalOutcome(const http::request_header<>& aHeader);
 
 /// Hash of service, method, target and body, by which repeated crashes are recognised.
 uint64_t
--- a/include/dragonflymoor/Net/CallerServer.h
+++ b/include/dragonflymoor/Net/CallerServer.h
@@ -97,10 +97,13 @@
                                http::status aStatus,
                                std::string aText,
                                Reason aReason,
+                               Outcome aOutcome,
                                bool aKeepAlive);
   asio::awaitable<error_code> ReadHeader(Connection& aConnection, Parser& aParser);
   /// Answers a request that could not be read, where an answer is possible.
-  asio::awaitable<void> RejectUnread(Connection& aConnection, error_code aError);
+  asio::awaitable<void> RejectUnread(Connection& aConnection,
+                                     const http::request_header<>& aHeader,
+                                     error_code aError);
   asio::awaitable<void> Discard(Connection& aConnection);
   /// Answers a connection beyond the bound.
   asio::awaitable<void> Refuse(Connection& aConnection);
--- a/include/dragonflymoor/Net/Control.h
+++ b/include/dragonflymoor/Net/Control.h
@@ -86,6 +86,7 @@
     RequestPointer content;
     size_t thread = 0; ///< Where its connection and its attempts are.
     bool order = false;
+    TimePoint deadline;
     std::function<void(FinalAnswer)> finish; ///< Empty when the caller is gone.
     std::map<AttemptId, AnswerPointer> attemptAnswers;
     AnswerPointer forwardAnswer;
@@ -96,7 +97,6 @@
   {
     RequestId request;
     size_t thread = 0;
-    bool order = false;
   };
 
   EngineHooks MakeHooks();
@@ -141,7 +141,7 @@
   std::map<std::pair<PeerConnectionId, RequestId>, RequestId> peerRequests_;
   /// Orders whose caller is gone. Their content stays for a while, because the engine may still run
   /// them for another copy.
-  std::deque<std::pair<TimePoint, RequestId>> goneOrders_;
+  std::multimap<TimePoint, RequestId> goneOrders_; ///< By the end of this time.
   KeptAnswers kept_;
   std::atomic<bool> ready_{ false };
   std::atomic<bool> stopping_{ false };
--- a/lib/Engine/RequestFlow.cpp
+++ b/lib/Engine/RequestFlow.cpp
@@ -287,6 +287,8 @@
   if (service->idempotent)
     aHead.order.reset();
   aHead.rank = std::max(aHead.rank, service->rank);
+  if (aHead.deadline == TimePoint())
+    aHead.deadline = aNow.monotonic + service->deadline;
   if (aHead.deadline <= aNow.monotonic)
     return Reason::DeadlineExceeded;
   if (refuseNew_ && !aHead.forwardedBy)
--- a/lib/Net/CallerExchange.cpp
+++ b/lib/Net/CallerExchange.cpp
@@ -24,11 +24,9 @@
     default:
       break;
   }
-  // The request ran, but its answer is not kept any more.
-  if (aAnswer.outcome == Outcome::Answered)
-    return http::status::gone;
-  return aAnswer.outcome == Outcome::Unknown ? http::status::bad_gateway
-                                             : http::status::service_unavailable;
+  // Answered without an answer: the order ran, but its answer is not kept any more.
+  return aAnswer.outcome == Outcome::NotRun ? http::status::service_unavailable
+                                            : http::status::bad_gateway;
 }
 
 std::string
@@ -39,7 +37,8 @@
       if (!aHead.order)
         return fmt::format("header Idempotency-Key is missing, which service {} needs",
                            aHead.service.Value());
-      break;
+      return "header Dfm-Created is more than 2 minutes in the future, or Idempotency-Key was used "
+             "for another request";
     case Reason::UnknownService:
       return fmt::format("service {} does not exist", aHead.service.Value());
     case Reason::UnknownPlan:
--- a/lib/Net/CallerRequest.cpp
+++ b/lib/Net/CallerRequest.cpp
@@ -11,8 +11,6 @@
 constexpr std::string_view kServicePrefix = "/v1/s/";
 constexpr size_t kMaxNameLength = 128;
 constexpr uint64_t kMaxDeadlineMs = 3'600'000;
-/// Clocks of callers may be ahead by this much.
-constexpr std::chrono::minutes kMaxFuture{ 2 };
 
 using Error = tl::unexpected<std::string>;
 
@@ -90,7 +88,7 @@
 
 /// The key and its time belong together; both are absent on idempotent requests.
 Parsed<std::optional<OrderKey>>
-ReadOrder(const http::request_header<>& aHeader, WallTime aNow)
+ReadOrder(const http::request_header<>& aHeader)
 {
   constexpr uint64_t kLatest = 4'102'444'800'000; // the year 2100
   const auto created = Number(aHeader, "Dfm-Created", 1, kLatest);
@@ -107,8 +105,6 @@
   if (!*created)
     return Fault("Dfm-Created", "is missing");
   const WallTime time{ std::chrono::milliseconds(**created) };
-  if (time > aNow + kMaxFuture)
-    return Fault("Dfm-Created", "is more than 2 minutes in the future");
   return OrderKey{ .key = std::move(*key), .created = time };
 }
 
@@ -135,7 +131,7 @@
 }
 
 tl::expected<CallerRequest, std::string>
-ParseCallerRequest(const http::request_header<>& aHeader, const Now& aNow)
+ParseCallerRequest(const http::request_header<>& aHeader, TimePoint aNow)
 {
   auto target = SplitTarget(aHeader.target());
   if (!target)
@@ -155,7 +151,7 @@
   const auto attempt = Number(aHeader, "Dfm-Attempt", 1, 1'000'000);
   if (!attempt)
     return Error(attempt.error());
-  auto order = ReadOrder(aHeader, aNow.wall);
+  auto order = ReadOrder(aHeader);
   if (!order)
     return Error(order.error());
 
@@ -166,12 +162,19 @@
   request.head.plan = PlanId(std::move(*plan));
   request.head.rank = *rank;
   if (*deadline)
-    request.head.deadline = aNow.monotonic + std::chrono::milliseconds(**deadline);
+    request.head.deadline = aNow + std::chrono::milliseconds(**deadline);
   request.head.firstCopy = *attempt == uint64_t{ 1 };
   request.head.order = std::move(*order);
   return request;
 }
 
+Outcome
+RefusalOutcome(const http::request_header<>& aHeader)
+{
+  const bool otherCopies = aHeader.count("Idempotency-Key") > 0 && aHeader["Dfm-Attempt"] != "1";
+  return otherCopies ? Outcome::Unknown : Outcome::NotRun;
+}
+
 uint64_t
 Fingerprint(const ServiceId& aService, const HttpRequest& aRequest)
 {
--- a/lib/Net/CallerServer.cpp
+++ b/lib/Net/CallerServer.cpp
@@ -137,6 +137,7 @@
                   http::status::service_unavailable,
                   "too many connections",
                   Reason::QueueFull,
+                  Outcome::Unknown,
                   false);
   co_await Discard(aConnection);
 }
@@ -166,7 +167,7 @@
   parser.body_limit(shared_->bounds.bodyBytes);
   const error_code headerError = co_await ReadHeader(aConnection, parser);
   if (headerError) {
-    co_await RejectUnread(aConnection, headerError);
+    co_await RejectUnread(aConnection, parser.get(), headerError);
     co_return false;
   }
   // A chunked body does not tell its length before.
@@ -178,6 +179,7 @@
                     http::status::service_unavailable,
                     "no memory for the body",
                     Reason::QueueFull,
+                    RefusalOutcome(parser.get()),
                     false);
     co_await Discard(aConnection);
     co_return false;
@@ -192,7 +194,7 @@
     auto [error, bytes] =
       co_await http::async_read(aConnection.stream, aConnection.buffer, parser, kAwaitTuple);
     if (error) {
-      co_await RejectUnread(aConnection, error);
+      co_await RejectUnread(aConnection, parser.get(), error);
       co_return false;
     }
   }
@@ -207,9 +209,12 @@
 }
 
 asio::awaitable<void>
-CallerServer::RejectUnread(Connection& aConnection, error_code aError)
+CallerServer::RejectUnread(Connection& aConnection,
+                           const http::request_header<>& aHeader,
+                           error_code aError)
 {
   http::status status = http::status::bad_request;
+  Outcome outcome = Outcome::Unknown; // Headers that could not be read may name an order.
   std::string text = fmt::format("malformed request: {}", aError.message());
   if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
     status = http::status::request_header_fields_too_large;
@@ -217,6 +222,7 @@
   } else if (aError == http::error::body_limit) {
     status = http::status::payload_too_large;
     text = fmt::format("the body is longer than {} bytes", shared_->bounds.bodyBytes);
+    outcome = RefusalOutcome(aHeader);
   } else if (aError == beast::error::timeout) {
     // Nothing can be sent on a connection whose time is over.
     hooks_.count("caller-timeouts", Reason::None);
@@ -227,7 +233,7 @@
     co_return;
   }
   hooks_.count("requests-refused", Reason::BadRequest);
-  co_await Reject(aConnection, status, std::move(text), Reason::BadRequest, false);
+  co_await Reject(aConnection, status, std::move(text), Reason::BadRequest, outcome, false);
   co_await Discard(aConnection);
 }
 
@@ -253,20 +259,29 @@
   const bool keepAlive = aRequest.keep_alive();
   const auto service = RouteService(aRequest.target());
   if (!service) {
-    co_return co_await Reject(
-      aConnection, http::status::not_found, "no such path", Reason::BadRequest, keepAlive);
+    co_return co_await Reject(aConnection,
+                              http::status::not_found,
+                              "no such path",
+                              Reason::BadRequest,
+                              Outcome::NotRun,
+                              keepAlive);
   }
   if (aRequest.method() != http::verb::get) {
     co_return co_await Reject(aConnection,
                               http::status::method_not_allowed,
                               "route answers are read with GET",
                               Reason::BadRequest,
+                              Outcome::NotRun,
                               keepAlive);
   }
   const std::shared_ptr<const RouteAnswers> routes = routes_;
   if (!routes->ready) {
-    co_return co_await Reject(
-      aConnection, http::status::service_unavailable, "not ready", Reason::NotReady, keepAlive);
+    co_return co_await Reject(aConnection,
+                              http::status::service_unavailable,
+                              "not ready",
+                              Reason::NotReady,
+                              Outcome::NotRun,
+                              keepAlive);
   }
   const auto found = routes->jsonByService.find(*service);
   if (found == routes->jsonByService.end()) {
@@ -274,6 +289,7 @@
                               http::status::bad_request,
                               fmt::format("parameter service: \"{}\" does not exist", *service),
                               Reason::UnknownService,
+                              Outcome::NotRun,
                               keepAlive);
   }
   hooks_.count("route-answers", Reason::None);
@@ -289,13 +305,14 @@
 {
   const bool keepAlive = aRequest.keep_alive();
   const http::verb method = aRequest.method();
-  auto parsed = ParseCallerRequest(aRequest, ReadClocks());
+  auto parsed = ParseCallerRequest(aRequest, ReadClocks().monotonic);
   if (!parsed) {
     hooks_.count("requests-refused", Reason::BadRequest);
     co_return co_await Reject(aConnection,
                               http::status::bad_request,
                               std::move(parsed.error()),
                               Reason::BadRequest,
+                              RefusalOutcome(aRequest),
                               keepAlive);
   }
   auto stored = std::make_shared<StoredRequest>();
@@ -369,10 +386,10 @@
                      http::status aStatus,
                      std::string aText,
                      Reason aReason,
+                     Outcome aOutcome,
                      bool aKeepAlive)
 {
-  FinalAnswer answer;
-  answer.reason = aReason;
+  FinalAnswer answer{ .outcome = aOutcome, .reason = aReason };
   if (aStatus == http::status::service_unavailable)
     answer.retryAfter = 1s;
   http::response<http::empty_body> response(aStatus, 11);
--- a/lib/Net/Control.cpp
+++ b/lib/Net/Control.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr auto kTickPeriod = std::chrono::milliseconds(20);
-/// The longest default deadline of an order is far below this.
+/// Time after its deadline for which the content of an order is kept when its caller is gone; also
+/// covers the default deadlines of services, which only the engine knows.
 constexpr Duration kGoneOrderTime = 60s;
 
 } // namespace
@@ -215,6 +216,7 @@
   const RequestHead& head = aExchange->Head();
   Request request{ .content = aExchange->Request(), .thread = aThread };
   request.order = head.order.has_value();
+  request.deadline = head.deadline;
   request.finish = [aExchange](FinalAnswer aAnswer) { aExchange->Finish(std::move(aAnswer)); };
   requests_.emplace(head.id, std::move(request));
   engine_->OnRequest(ReadClocks(), head);
@@ -233,6 +235,7 @@
   head.id = { shared_.callers->nextRequest.fetch_add(1) };
   Request request{ .content = aExchange->Request(), .thread = aThread };
   request.order = head.order.has_value();
+  request.deadline = head.deadline;
   request.finish = [aExchange](FinalAnswer aAnswer) { aExchange->Finish(std::move(aAnswer)); };
   request.peer = key;
   peerRequests_[key] = head.id;
@@ -278,7 +281,8 @@
     peerRequests_.erase(*found->second.peer);
   if (found->second.order) {
     found->second.finish = nullptr;
-    goneOrders_.emplace_back(ReadClocks().monotonic, aId);
+    const TimePoint until = std::max(found->second.deadline, ReadClocks().monotonic);
+    goneOrders_.emplace(until + kGoneOrderTime, aId);
   } else {
     requests_.erase(found);
   }
@@ -288,9 +292,9 @@
 void
 Control::DropGoneOrders(TimePoint aNow)
 {
-  while (!goneOrders_.empty() && goneOrders_.front().first + kGoneOrderTime < aNow) {
-    requests_.erase(goneOrders_.front().second);
-    goneOrders_.pop_front();
+  while (!goneOrders_.empty() && goneOrders_.begin()->first < aNow) {
+    requests_.erase(goneOrders_.begin()->second);
+    goneOrders_.erase(goneOrders_.begin());
   }
 }
 
@@ -305,11 +309,8 @@
     metrics_.Count("attempts-failed", aOutcome.detail);
   if (aOutcome.answer != nullptr) {
     const auto request = requests_.find(id);
-    const bool waiting = request != requests_.end() && request->second.finish;
-    if (waiting)
+    if (request != requests_.end())
       request->second.attemptAnswers[aId] = aOutcome.answer;
-    else if (attempt->second.order) // A later copy of the order may ask for it.
-      kept_.Keep(id, aOutcome.answer);
   }
   attempts_.erase(attempt);
   engine_->OnAttemptEnded(ReadClocks(), aId, aOutcome.result);
@@ -319,11 +320,8 @@
 Control::OnForwardReply(RequestId aId, const ForwardReply& aReply, AnswerPointer aAnswer)
 {
   const auto found = requests_.find(aId);
-  if (found != requests_.end() && aAnswer != nullptr) {
-    if (found->second.order && !found->second.finish)
-      kept_.Keep(aId, aAnswer);
+  if (found != requests_.end())
     found->second.forwardAnswer = std::move(aAnswer);
-  }
   engine_->OnForwardReply(ReadClocks(), aId, aReply);
 }
 
@@ -341,8 +339,7 @@
 {
   const auto found = requests_.find(aRequest);
   const size_t index = found == requests_.end() ? 0 : found->second.thread;
-  const bool order = found != requests_.end() && found->second.order;
-  attempts_[aId] = { .request = aRequest, .thread = index, .order = order };
+  attempts_[aId] = { .request = aRequest, .thread = index };
   if (found == requests_.end()) {
     // The content is gone with its caller, so that nothing can be sent.
     AttemptOutcome outcome;
@@ -355,7 +352,7 @@
   Attempt attempt{ .id = aId, .request = found->second.content, .server = aServer };
   attempt.requestId = options_.requestIdPrefix + std::to_string(aRequest.value);
   attempt.deadline = aDeadline;
-  attempt.freshConnection = order;
+  attempt.freshConnection = found->second.order;
   thread.Post([this, &thread, aId, attempt = std::move(attempt)] {
     thread.backends.Start(attempt, [this, aId](AttemptOutcome aOutcome) {
       asio::post(context_,
@@ -413,7 +410,7 @@
 Control::Reply(RequestId aId, const dfm::Reply& aReply)
 {
   const auto found = requests_.find(aId);
-  if (found == requests_.end() || !found->second.finish)
+  if (found == requests_.end())
     return;
   Request request = std::move(found->second);
   requests_.erase(found);
@@ -432,7 +429,9 @@
     answer.answer = nullptr;
   }
   metrics_.Count(std::string("replies-") + std::string(ToString(answer.outcome)), answer.reason);
-  request.finish(std::move(answer));
+  // An order whose caller is gone ends here too, so that its answer is kept for repeats.
+  if (request.finish)
+    request.finish(std::move(answer));
 }
 
 void
--- a/lib/Net/Daemon.cpp
+++ b/lib/Net/Daemon.cpp
@@ -25,8 +25,9 @@
 constexpr Duration kMaxTickAge = 2s;
 /// Tries to find a port that is free for both TCP and UDP, when the system chooses it.
 constexpr int kPortTries = 20;
-/// Part of the memory for bodies that answers of finished orders may take.
-constexpr uint64_t kKeptAnswersDivisor = 4;
+/// Answers of finished orders may take half of the memory for bodies; with the default bounds that
+/// is the 32 MB that the engine counts on.
+constexpr uint64_t kKeptAnswersDivisor = 2;
 
 uint64_t
 RandomNumber()
--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -217,7 +217,7 @@
   if (forwards_.erase(reply->id) == 0)
     return {}; // cancelled
   AnswerPointer answer;
-  if (reply->outcome == Outcome::Answered) {
+  if (reply->outcome == Outcome::Answered && !reply->content.empty()) {
     auto message = DecodeAnswerContent(reply->content);
     if (!message) {
       hooks_.forwardFailed(reply->id, true);
--- a/lib/Net/PeerServer.cpp
+++ b/lib/Net/PeerServer.cpp
@@ -36,10 +36,8 @@
       ForwardReply reply{ .id = id, .outcome = answer.outcome, .reason = answer.reason };
       reply.owner = answer.owner;
       reply.retryAfter = answer.retryAfter;
-      // The answer ran but is not kept any more, so that the sender can't repeat it either.
-      if (reply.outcome == Outcome::Answered && answer.answer == nullptr)
-        reply.outcome = Outcome::Unknown;
-      else if (reply.outcome == Outcome::Answered)
+      // Answered without content: the order ran, but its answer is not kept any more.
+      if (reply.outcome == Outcome::Answered && answer.answer != nullptr)
         reply.content = EncodeContent(answer.answer->message);
       FrameConnection::Frame frame{ .payload = EncodeStream(self, reply), .done = done };
       if (link == nullptr) {
--- a/unittests/Net/CallerRequestTest.cpp
+++ b/unittests/Net/CallerRequestTest.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Now kNow{ .monotonic = TimePoint(10s), .wall = WallTime(1'000'000'000ms) };
+constexpr TimePoint kNow(10s);
 
 /// Headers of a good order; one of them is replaced or removed (null value), or given a second
 /// time.
@@ -97,10 +97,6 @@
       "yesterday",
       false,
       "header Dfm-Created must be a whole number from 1 to 4102444800000" },
-    { "Dfm-Created",
-      "1000120001",
-      false,
-      "header Dfm-Created is more than 2 minutes in the future" },
   };
   return cr_make_param_array(FaultCase, cases, sizeof(cases) / sizeof(FaultCase));
 }
@@ -118,6 +114,19 @@
   cr_assert(request.error() == aCase->text, "%s", request.error().c_str());
 }
 
+// Guards against "not run" for a copy of an order of which another copy may have run.
+Test(CallerRequest, RefusedCopiesOfAnOrderAreUnknownUnlessFirst)
+{
+  http::request_header<> header = OrderHeader();
+  cr_assert(RefusalOutcome(header) == Outcome::NotRun);
+  header.set("Dfm-Attempt", "2");
+  cr_assert(RefusalOutcome(header) == Outcome::Unknown);
+  header.erase("Dfm-Attempt");
+  cr_assert(RefusalOutcome(header) == Outcome::Unknown);
+  header.erase("Idempotency-Key");
+  cr_assert(RefusalOutcome(header) == Outcome::NotRun);
+}
+
 // Guards against headers of one connection that leak to the next, or content that changes on it.
 Test(Content, EncodingKeepsEndToEndPartsOnly)
 {
--- a/unittests/Net/DaemonTest.cpp
+++ b/unittests/Net/DaemonTest.cpp
@@ -186,7 +186,8 @@
     return;
   }
   cr_assert(answer.body() == aCase->body, "%s", answer.body().c_str());
-  cr_assert(answer["Dfm-Outcome"] == "not-run");
+  const bool unread = answer.body().starts_with("malformed");
+  cr_assert(answer["Dfm-Outcome"] == (unread ? "unknown" : "not-run"));
 }
 
 // Guards against headers without end that fill the memory.
