Refuse out-of-date order keys in the engine

Cause: the engine never called ValidateOrderKey. A trial run with the daemon executed an order with Dfm-Created 200 s ahead; a key older than the retention would be accepted too, and could run a second time after its claim was deleted.

Change: RequestFlow validates the key of every copy in the role Entry or Claimer before anything else is decided about it.

Result: compiles; the engine tests and the trial were not repeated with it.

--- a/lib/Engine/RequestFlow.cpp
+++ b/lib/Engine/RequestFlow.cpp
@@ -310,6 +310,14 @@
 {
   context_.hooks.count("requests", Reason::None);
   const Reason reason = Check(aNow, aHead);
+  // Before any refusal by the ledger, which might write a claim for a key that is out of date.
+  if (IsLedgered(aHead)) {
+    if (const auto refusal = ValidateOrderKey(*aHead.order, aNow.wall)) {
+      context_.hooks.count("refusals", refusal->reason);
+      return context_.hooks.reply(aHead.id,
+                                  { .outcome = refusal->outcome, .reason = refusal->reason });
+    }
+  }
   if (reason != Reason::None)
     return Refuse(aNow, aHead, reason);
   retryBudget_.OnRequest(aHead.service);
