--- a/include/dragonflymoor/Net/CallerServer.h
+++ b/include/dragonflymoor/Net/CallerServer.h
@@ -31,8 +31,9 @@
   BoundSettings bounds;
   std::shared_ptr<BodyBudget> budget;
   std::atomic<uint32_t> connections{ 0 };
-  std::atomic<uint32_t> unfinished{ 0 }; ///< Requests whose answer is not yet written.
-  std::atomic<bool> stopping{ false };   ///< Answers ask callers to close the connection.
+  std::atomic<uint32_t> refusedConnections{ 0 }; ///< Open only until the refusal is read.
+  std::atomic<uint32_t> unfinished{ 0 };         ///< Requests whose answer is not yet written.
+  std::atomic<bool> stopping{ false };           ///< Answers ask callers to close the connection.
   std::atomic<uint64_t> nextRequest{ 1 };
   std::string requestIdPrefix; ///< Makes request ids unique in the fleet.
 };
@@ -96,11 +97,16 @@
                                http::status aStatus,
                                std::string aText,
                                Reason aReason,
+                               Outcome aOutcome,
                                bool aKeepAlive);
   asio::awaitable<error_code> ReadHeader(Connection& aConnection, Parser& aParser);
   /// Answers a request that could not be read, where an answer is possible.
-  asio::awaitable<void> RejectUnread(Connection& aConnection, error_code aError);
+  asio::awaitable<void> RejectUnread(Connection& aConnection,
+                                     const http::request_header<>& aHeader,
+                                     error_code aError);
   asio::awaitable<void> Discard(Connection& aConnection);
+  /// Answers a connection beyond the bound.
+  asio::awaitable<void> Refuse(Connection& aConnection);
 
   std::shared_ptr<CallerShared> shared_;
   CallerTimeouts timeouts_;
--- a/lib/Net/CallerServer.cpp
+++ b/lib/Net/CallerServer.cpp
@@ -45,18 +45,25 @@
 {
 public:
   explicit ConnectionCount(std::atomic<uint32_t>& aCount)
-    : count_(aCount)
+    : count_(&aCount)
     , before_(aCount.fetch_add(1))
   {
   }
-  ~ConnectionCount() { count_.fetch_sub(1); }
+  ~ConnectionCount() { Release(); }
   ConnectionCount(const ConnectionCount&) = delete;
   ConnectionCount& operator=(const ConnectionCount&) = delete;
 
   uint32_t Before() const { return before_; }
 
+  void Release()
+  {
+    if (count_ != nullptr)
+      count_->fetch_sub(1);
+    count_ = nullptr;
+  }
+
 private:
-  std::atomic<uint32_t>& count_;
+  std::atomic<uint32_t>* count_;
   const uint32_t before_;
 };
 
@@ -101,19 +108,15 @@
 asio::awaitable<void>
 CallerServer::Run(tcp::socket aSocket)
 {
-  const ConnectionCount count(shared_->connections);
+  ConnectionCount count(shared_->connections);
   error_code ignored;
   aSocket.set_option(tcp::no_delay(true), ignored);
   // Headers may arrive with bytes of the body behind them.
   const size_t bufferBytes = shared_->bounds.headerBytes + 2 * kReadBytes;
   Connection connection{ beast::tcp_stream(std::move(aSocket)), beast::flat_buffer(bufferBytes) };
   if (count.Before() >= shared_->bounds.connections) {
-    hooks_.count("connections-refused", Reason::None);
-    co_await Reject(connection,
-                    http::status::service_unavailable,
-                    "too many connections",
-                    Reason::QueueFull,
-                    false);
+    count.Release();
+    co_await Refuse(connection);
   } else {
     bool open = true;
     while (open)
@@ -122,6 +125,23 @@
   connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+asio::awaitable<void>
+CallerServer::Refuse(Connection& aConnection)
+{
+  hooks_.count("connections-refused", Reason::None);
+  // Refused connections are bounded too; beyond that they are closed without a word.
+  const ConnectionCount refused(shared_->refusedConnections);
+  if (refused.Before() >= shared_->bounds.connections)
+    co_return;
+  co_await Reject(aConnection,
+                  http::status::service_unavailable,
+                  "too many connections",
+                  Reason::QueueFull,
+                  Outcome::Unknown,
+                  false);
+  co_await Discard(aConnection);
+}
+
 asio::awaitable<error_code>
 CallerServer::ReadHeader(Connection& aConnection, Parser& aParser)
 {
@@ -147,7 +167,7 @@
   parser.body_limit(shared_->bounds.bodyBytes);
   const error_code headerError = co_await ReadHeader(aConnection, parser);
   if (headerError) {
-    co_await RejectUnread(aConnection, headerError);
+    co_await RejectUnread(aConnection, parser.get(), headerError);
     co_return false;
   }
   // A chunked body does not tell its length before.
@@ -159,7 +179,9 @@
                     http::status::service_unavailable,
                     "no memory for the body",
                     Reason::QueueFull,
+                    RefusalOutcome(parser.get()),
                     false);
+    co_await Discard(aConnection);
     co_return false;
   }
   BodyReservation reservation(shared_->budget, reserve);
@@ -172,7 +194,7 @@
     auto [error, bytes] =
       co_await http::async_read(aConnection.stream, aConnection.buffer, parser, kAwaitTuple);
     if (error) {
-      co_await RejectUnread(aConnection, error);
+      co_await RejectUnread(aConnection, parser.get(), error);
       co_return false;
     }
   }
@@ -187,9 +209,12 @@
 }
 
 asio::awaitable<void>
-CallerServer::RejectUnread(Connection& aConnection, error_code aError)
+CallerServer::RejectUnread(Connection& aConnection,
+                           const http::request_header<>& aHeader,
+                           error_code aError)
 {
   http::status status = http::status::bad_request;
+  Outcome outcome = Outcome::Unknown; // Headers that could not be read may name an order.
   std::string text = fmt::format("malformed request: {}", aError.message());
   if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
     status = http::status::request_header_fields_too_large;
@@ -197,6 +222,7 @@
   } else if (aError == http::error::body_limit) {
     status = http::status::payload_too_large;
     text = fmt::format("the body is longer than {} bytes", shared_->bounds.bodyBytes);
+    outcome = RefusalOutcome(aHeader);
   } else if (aError == beast::error::timeout) {
     // Nothing can be sent on a connection whose time is over.
     hooks_.count("caller-timeouts", Reason::None);
@@ -207,7 +233,7 @@
     co_return;
   }
   hooks_.count("requests-refused", Reason::BadRequest);
-  co_await Reject(aConnection, status, std::move(text), Reason::BadRequest, false);
+  co_await Reject(aConnection, status, std::move(text), Reason::BadRequest, outcome, false);
   co_await Discard(aConnection);
 }
 
@@ -233,20 +259,29 @@
   const bool keepAlive = aRequest.keep_alive();
   const auto service = RouteService(aRequest.target());
   if (!service) {
-    co_return co_await Reject(
-      aConnection, http::status::not_found, "no such path", Reason::BadRequest, keepAlive);
+    co_return co_await Reject(aConnection,
+                              http::status::not_found,
+                              "no such path",
+                              Reason::BadRequest,
+                              Outcome::NotRun,
+                              keepAlive);
   }
   if (aRequest.method() != http::verb::get) {
     co_return co_await Reject(aConnection,
                               http::status::method_not_allowed,
                               "route answers are read with GET",
                               Reason::BadRequest,
+                              Outcome::NotRun,
                               keepAlive);
   }
   const std::shared_ptr<const RouteAnswers> routes = routes_;
   if (!routes->ready) {
-    co_return co_await Reject(
-      aConnection, http::status::service_unavailable, "not ready", Reason::NotReady, keepAlive);
+    co_return co_await Reject(aConnection,
+                              http::status::service_unavailable,
+                              "not ready",
+                              Reason::NotReady,
+                              Outcome::NotRun,
+                              keepAlive);
   }
   const auto found = routes->jsonByService.find(*service);
   if (found == routes->jsonByService.end()) {
@@ -254,6 +289,7 @@
                               http::status::bad_request,
                               fmt::format("parameter service: \"{}\" does not exist", *service),
                               Reason::UnknownService,
+                              Outcome::NotRun,
                               keepAlive);
   }
   hooks_.count("route-answers", Reason::None);
@@ -269,13 +305,14 @@
 {
   const bool keepAlive = aRequest.keep_alive();
   const http::verb method = aRequest.method();
-  auto parsed = ParseCallerRequest(aRequest, ReadClocks());
+  auto parsed = ParseCallerRequest(aRequest, ReadClocks().monotonic);
   if (!parsed) {
     hooks_.count("requests-refused", Reason::BadRequest);
     co_return co_await Reject(aConnection,
                               http::status::bad_request,
                               std::move(parsed.error()),
                               Reason::BadRequest,
+                              RefusalOutcome(aRequest),
                               keepAlive);
   }
   auto stored = std::make_shared<StoredRequest>();
@@ -349,10 +386,10 @@
                      http::status aStatus,
                      std::string aText,
                      Reason aReason,
+                     Outcome aOutcome,
                      bool aKeepAlive)
 {
-  FinalAnswer answer;
-  answer.reason = aReason;
+  FinalAnswer answer{ .outcome = aOutcome, .reason = aReason };
   if (aStatus == http::status::service_unavailable)
     answer.retryAfter = 1s;
   http::response<http::empty_body> response(aStatus, 11);
