--- a/lib/Fakes/Json.h
+++ b/include/dragonflymoor/Fakes/Json.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYMOOR_LIB_FAKES_JSON_H
-#define DRAGONFLYMOOR_LIB_FAKES_JSON_H
+#ifndef DRAGONFLYMOOR_FAKES_JSON_H
+#define DRAGONFLYMOOR_FAKES_JSON_H
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
--- a/lib/Fakes/BackendFleet.cpp
+++ b/lib/Fakes/BackendFleet.cpp
@@ -1,7 +1,7 @@
 #include "dragonflymoor/Fakes/BackendFleet.h"
 
 #include "BackendInstance.h"
-#include "Json.h"
+#include "dragonflymoor/Fakes/Json.h"
 #include "dragonflymoor/Support/Hash.h"
 #include <array>
 #include <charconv>
--- a/lib/Fakes/BackendInstance.cpp
+++ b/lib/Fakes/BackendInstance.cpp
@@ -1,6 +1,6 @@
 #include "BackendInstance.h"
 
-#include "Json.h"
+#include "dragonflymoor/Fakes/Json.h"
 #include <algorithm>
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/lib/Fakes/Link.cpp
+++ b/lib/Fakes/Link.cpp
@@ -1,7 +1,7 @@
 #include "dragonflymoor/Fakes/Link.h"
 
-#include "Json.h"
 #include "LinkStream.h"
+#include "dragonflymoor/Fakes/Json.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/lib/Fakes/Platform.cpp
+++ b/lib/Fakes/Platform.cpp
@@ -1,6 +1,6 @@
 #include "dragonflymoor/Fakes/Platform.h"
 
-#include "Json.h"
+#include "dragonflymoor/Fakes/Json.h"
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/url.hpp>
