--- a/include/dragonflymoor/Fakes/BackendFleet.h
+++ b/include/dragonflymoor/Fakes/BackendFleet.h
@@ -54,7 +54,7 @@
 
   HttpAnswer HandleControl(const HttpRequest& aRequest);
   void SetFaults(const std::string& aBody);
-  std::string Stats(bool aWithKeys) const;
+  std::string Stats(bool aWithKeys);
 
   boost::asio::io_context& io_;
   BackendFleetOptions options_;
--- a/lib/Fakes/BackendFleet.cpp
+++ b/lib/Fakes/BackendFleet.cpp
@@ -147,7 +147,7 @@
 }
 
 std::string
-BackendFleet::Stats(bool aWithKeys) const
+BackendFleet::Stats(bool aWithKeys)
 {
   json::array list;
   std::map<std::string, uint64_t> runs;
--- a/lib/Fakes/BackendInstance.cpp
+++ b/lib/Fakes/BackendInstance.cpp
@@ -48,6 +48,7 @@
       turn_.expires_at(kNever);
       co_await turn_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
     }
+    instance_.AccountBusyTime();
     ++instance_.running_;
     running_ = true;
   }
@@ -59,6 +60,7 @@
     released_ = true;
     std::erase(instance_.queue_, &turn_);
     --instance_.inFlight_;
+    instance_.AccountBusyTime();
     if (running_)
       --instance_.running_;
     if (!instance_.queue_.empty() && instance_.running_ < instance_.slots_) {
@@ -104,6 +106,7 @@
   apply(aSettings.if_contains("default"));
   if (const auto* services = aSettings.if_contains("services"))
     apply(services->as_object().if_contains(service_));
+  busySince_ = std::chrono::steady_clock::now();
   StartProcess();
 }
 
@@ -198,8 +201,9 @@
 }
 
 json::object
-BackendFleet::Instance::Stats(bool aWithKeys) const
+BackendFleet::Instance::Stats(bool aWithKeys)
 {
+  AccountBusyTime();
   json::object stats{ { "id", id_ },
                       { "service", service_ },
                       { "region", region_ },
@@ -215,6 +219,7 @@
                       { "crashes", counters_.crashes },
                       { "inFlight", inFlight_ },
                       { "peakInFlight", counters_.peakInFlight },
+                      { "busyMs", counters_.busy / 1ms },
                       { "lastRequestMs", counters_.lastRequestMs },
                       { "keys", runsByKey_.size() } };
   if (aWithKeys)
@@ -222,9 +227,18 @@
   return stats;
 }
 
+void
+BackendFleet::Instance::AccountBusyTime()
+{
+  const auto now = std::chrono::steady_clock::now();
+  counters_.busy += std::chrono::duration_cast<Duration>(now - busySince_) * running_;
+  busySince_ = now;
+}
+
 void
 BackendFleet::Instance::ResetCounters()
 {
+  AccountBusyTime();
   counters_ = { .peakInFlight = inFlight_, .lastRequestMs = counters_.lastRequestMs };
 }
 
--- a/lib/Fakes/BackendInstance.h
+++ b/lib/Fakes/BackendInstance.h
@@ -26,7 +26,7 @@
   bool Matches(const boost::json::object& aFault) const;
   /// Changes the faults that are present in the object.
   void SetFaults(const boost::json::object& aFault);
-  boost::json::object Stats(bool aWithKeys) const;
+  boost::json::object Stats(bool aWithKeys);
   /// Sets all counters to zero, but for the requests in flight and the runs by key.
   void ResetCounters();
   const std::map<std::string, uint64_t>& RunsByKey() const { return runsByKey_; }
@@ -71,6 +71,7 @@
     uint64_t shed = 0;
     uint64_t crashes = 0;
     uint64_t peakInFlight = 0;
+    Duration busy{};           ///< Sum of the time of all slots in which they ran a request.
     int64_t lastRequestMs = 0; ///< Wall time of the last new request.
   };
 
@@ -79,6 +80,8 @@
   boost::asio::awaitable<Answer> ReportLoad();
   boost::asio::awaitable<void> Sleep(Duration aDuration);
   void Crash();
+  /// Adds the slot time since the last change; to be called before a change of running_.
+  void AccountBusyTime();
   void StartProcess();
   void UpdateListening();
   std::string LoadReport() const;
@@ -97,6 +100,7 @@
   std::map<std::string, uint64_t> runsByKey_;
   uint64_t inFlight_ = 0; ///< Running and queued requests.
   uint64_t running_ = 0;
+  std::chrono::steady_clock::time_point busySince_;
   std::deque<boost::asio::steady_timer*> queue_;
   std::string staleReport_;
   std::string process_;
--- a/utils/fleet.sh
+++ b/utils/fleet.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash disable=SC2154
 # Functions that run a fleet of nine daemons with its fakes on loopback addresses. Sourced by
 # quickstart.sh and measure.sh, which set `build` (build directory) and `work` (directory for logs).
 
@@ -16,7 +17,7 @@
   pids[$name]=$!
 }
 
-# end_process NAME SIGNAL: sends the signal and waits; returns the exit status.
+# end_process NAME SIGNAL: sends the signal (0 for none) and waits; returns the exit status.
 end_process() {
   local pid=${pids[$1]:-}
   [ -n "$pid" ] || return 0
@@ -116,10 +117,22 @@
   [ "$status" = 200 ] || fail "update of $2 was answered with status $status"
 }
 
-# run_load FLEET PLAN REPORT [OPTION...]: runs the load and writes its report as JSON.
-run_load() {
+# start_load FLEET PLAN REPORT [OPTION...]: starts a load that writes its report as JSON.
+start_load() {
   local fleet=$1 plan=$2 report=$3
   shift 3
   "$build/tools/dragonflymoor-load/dragonflymoor-load" --plan "$plan" --output json \
-    --backend_control "$(backend_control_of "$fleet")" "$@" >"$report" 2>"$report.log"
+    --backend_control "$(backend_control_of "$fleet")" "$@" >"$report" 2>"$report.log" &
+  pids[load]=$!
+}
+
+# finish_load REPORT: waits until the load has ended.
+finish_load() {
+  end_process load 0 || fail "load: $(cat "$1.log")"
+}
+
+# run_load FLEET PLAN REPORT [OPTION...]
+run_load() {
+  start_load "$@"
+  finish_load "$3"
 }
--- a/utils/quickstart.sh
+++ b/utils/quickstart.sh
@@ -48,18 +48,17 @@
 
 # show USER KILLED_VM PLAN SERVICE DRAINED_SERVER
 show() {
-  local fleet=examples/$1 killed=$2 plan=$3 service=$4 drained=$5 store marked load
+  local fleet=examples/$1 killed=$2 plan=$3 service=$4 drained=$5 store marked
   store=$(store_of "$fleet")
   echo "$1: starting nine daemons, 36 backend servers and the platform"
   start_fakes "$fleet"
   start_daemons "$fleet"
 
   echo "$1: 4 s of load; daemon $killed is killed after 2 s"
-  run_load "$fleet" "$fleet/load.json" "$work/kill.json" &
-  load=$!
+  start_load "$fleet" "$fleet/load.json" "$work/kill.json"
   sleep 2
   end_process "$killed" KILL 2>/dev/null || true
-  wait "$load" || fail "load: $(cat "$work/kill.json.log")"
+  finish_load "$work/kill.json"
   print_report "$work/kill.json"
   check_load "$work/kill.json"
   check "at least 98 % of the requests were answered" "$work/kill.json" \
@@ -69,8 +68,7 @@
   edit_object "$store" config/limits "(.limits[] |
     select(.plan == \"$plan\" and .service == \"$service\") | .requestsPerSecond) = 5"
   sleep 3
-  run_load "$fleet" "$fleet/load.json" "$work/limit.json" ||
-    fail "load: $(cat "$work/limit.json.log")"
+  run_load "$fleet" "$fleet/load.json" "$work/limit.json"
   print_report "$work/limit.json"
   check_load "$work/limit.json"
   # 5 a second for 4 s, and one second's worth of burst.
@@ -84,8 +82,7 @@
   marked=$(now_ms)
   edit_object "$store" config/drains \
     ".drains = [{target: \"backend-server\", name: \"$drained\", startsAt: $marked}]"
-  run_load "$fleet" "$fleet/load.json" "$work/drain.json" ||
-    fail "load: $(cat "$work/drain.json.log")"
+  run_load "$fleet" "$fleet/load.json" "$work/drain.json"
   print_report "$work/drain.json"
   check_load "$work/drain.json"
   curl -sf "http://$(backend_control_of "$fleet")/stats" >"$work/stats.json"
