Use the operators' tool in the quickstart and print targets of a measurement

The quickstart changes the limit and adds the drain with dragonflymoorctl, as an operator would. The measurement keeps the direct update of the drain list: the tool first samples the use of the pools for 5 s, which the short stages do not have.

The measurement prints its stages in order and, below the tables, the targets of the design page that it can show, each as met or missed. The load generator no longer tries further VMs after a timeout, because the deadline has passed then.

No run with the real daemon yet.

--- a/tools/dragonflymoor-load/FleetCallers.cpp
+++ b/tools/dragonflymoor-load/FleetCallers.cpp
@@ -149,8 +149,9 @@
                       : exchange.end == ExchangeEnd::TimedOut    ? "client-timeout"
                                                                  : "client-connection-broken";
     }
-    // The caller of an order decides on a further copy itself.
-    co_return exchange.end == ExchangeEnd::ConnectFailed || !aTask.kind->order;
+    // The caller of an order decides on a further copy itself; a timeout leaves no time for one.
+    const bool repeatable = exchange.end == ExchangeEnd::Broken && !aTask.kind->order;
+    co_return exchange.end == ExchangeEnd::ConnectFailed || repeatable;
   }
   const std::string outcome = HeaderOf(exchange.response, "Dfm-Outcome");
   result.reason = HeaderOf(exchange.response, "Dfm-Reason");
--- a/utils/fleet.sh
+++ b/utils/fleet.sh
@@ -117,6 +117,25 @@
   [ "$status" = 200 ] || fail "update of $2 was answered with status $status"
 }
 
+# set_limit FLEET PLAN SERVICE REQUESTS_PER_SECOND: changes a plan's limit with the operators' tool.
+set_limit() {
+  "$build/tools/dragonflymoorctl/dragonflymoorctl" --store "$(store_of "$1")" \
+    set limits "$2/$3" "requestsPerSecond=$4" >"$work/ctl.log" 2>&1 ||
+    fail "set limits: $(cat "$work/ctl.log")"
+}
+
+# add_drain FLEET TARGET NAME: adds a drain with the operators' tool, which asks all daemons that
+# still run whether the remaining servers can carry the load.
+add_drain() {
+  local operators=() name
+  for name in $(vm_names_of "$1"); do
+    [ -z "${pids[$name]:-}" ] || operators+=("$(jq -r .operators "$1/vms/$name.json")")
+  done
+  "$build/tools/dragonflymoorctl/dragonflymoorctl" --store "$(store_of "$1")" \
+    --operators "$(IFS=, && echo "${operators[*]}")" drain add "$2" "$3" >"$work/ctl.log" 2>&1 ||
+    fail "drain add: $(cat "$work/ctl.log")"
+}
+
 # start_load FLEET PLAN REPORT [OPTION...]: starts a load that writes its report as JSON.
 start_load() {
   local fleet=$1 plan=$2 report=$3
--- a/utils/measure.sh
+++ b/utils/measure.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
+# shellcheck disable=SC2016 # jq programs are in single quotes
 # Measures a fleet of nine daemons and 36 backend servers behind the link relay, and the plain
 # baseline (random server, up to 5 unbudgeted retries, no ranks) under the same load, and prints
 # both. Usage: utils/measure.sh [--quick] [--user cooperative|family] [--no-build]
@@ -11,7 +12,6 @@
 #                statements 72 / 600 ms = 120/s
 #   family:      pages 72 / 300 ms = 240/s, filings 36 / 400 ms = 90/s, archive 96 / 600 ms = 160/s
 # Link caps are scaled to 0.5 MB/s (cooperative) and 7 MB/s (family), the ratio of the design page.
-# The single quotes of the jq programs are meant: shellcheck disable=SC2016
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${DFM_BUILD:-build}
@@ -118,11 +118,13 @@
       drainedMs: ($busy - $mark)}' >"$work/drain.state"
 }
 
+stage_number=0
 # run_stage SIDE STAGE [EVENT...]: runs one load and collects all counters; the event is a command
 # that runs during the load.
 run_stage() {
   local side=$1 stage=$2 options=() report=$work/$1-$2
   shift 2
+  stage_number=$((stage_number + 1))
   [ "$side" = ours ] || options=(--baseline --backends "$fleet/platform/fleet/backends.json")
   echo '{}' >"$work/drain.state"
   sleep 1
@@ -135,12 +137,12 @@
   curl -sf "http://$(backend_control_of "$fleet")/stats" >"$report.end"
   curl -sf "http://$(link_control_of "$fleet")/stats" >"$report.link"
   jq -n --arg side "$side" --arg stage "$stage" --argjson seconds "$seconds" --argjson cap "$cap" \
-    --slurpfile load "$report.load" --slurpfile middle "$report.middle" \
+    --argjson number "$stage_number" --slurpfile load "$report.load" --slurpfile middle "$report.middle" \
     --slurpfile last "$report.end" --slurpfile link "$report.link" \
     --slurpfile drain "$work/drain.state" '
     ($load[0].links // $link[0].links | map(select(.from != .to) | .peakBytesPerSecond) | max // 0)
       as $peak |
-    {side: $side, stage: $stage, ranks: $load[0].phases[0].ranks, plans: $load[0].phases[0].plans,
+    {side: $side, stage: $stage, number: $number, ranks: $load[0].phases[0].ranks, plans: $load[0].phases[0].plans,
      classes: $load[0].phases[0].classes, all: $load[0].phases[0].all, orders: $load[0].orders,
      overruns: $last[0].overruns, peakLink: $peak, linkUse: ($peak / $cap), drain: $drain[0],
      use: ($middle[0].instances | group_by(.service) | map({key: .[0].service,
@@ -174,33 +176,58 @@
 
 print_tables() {
   local all=$work/all.json
-  find "$work" '(' -name 'ours-*.json' -o -name 'baseline-*.json' ')' -exec jq -s . {} + >"$all"
+  find "$work" '(' -name 'ours-*.json' -o -name 'baseline-*.json' ')' -exec jq -s 'sort_by(.number)' {} + >"$all"
   echo
   echo "latency and kept share by rank"
   { echo "stage rank side sent answered kept% p50ms p99ms p99.9ms unknown lost wrong"
-    jq -r 'sort_by(.stage, .side) | .[] | . as $s | .ranks | to_entries[] | [$s.stage, .key, $s.side,
+    jq -r '.[] | . as $s | .ranks | to_entries[] | [$s.stage, .key, $s.side,
       .value.sent, .value.answered, (1000 * .value.answered / ([.value.sent, 1] | max) | round / 10),
       .value.p50Ms, .value.p99Ms, .value.p999Ms, .value.unknown, .value.lost, .value.wrong] |
       map(tostring) | join(" ")' "$all"; } | column -t
   echo
   echo "kept share by plan (%)"
   { echo "stage side plan sent answered kept%"
-    jq -r 'sort_by(.stage, .side) | .[] | . as $s | .plans | to_entries[] | [$s.stage, $s.side, .key,
+    jq -r '.[] | . as $s | .plans | to_entries[] | [$s.stage, $s.side, .key,
       .value.sent, .value.answered, (1000 * .value.answered / ([.value.sent, 1] | max) | round / 10)] |
       map(tostring) | join(" ")' "$all"; } | column -t
   echo
   echo "fleet"
   { echo "stage side peak-link-B/s of-cap% overruns double-runs false-not-run last-new-ms drained-ms use%"
-    jq -r 'sort_by(.stage, .side) | .[] | [.stage, .side, .peakLink, (.linkUse * 1000 | round / 10),
+    jq -r '.[] | [.stage, .side, .peakLink, (.linkUse * 1000 | round / 10),
       .overruns, .orders.doubleRuns, .orders.falseNotRun, (if .side == "baseline" and .drain.drainedMs then "never", "never"
         else .drain.lastNewRequestMs // "-", .drain.drainedMs // "-" end), (.use | to_entries | map("\(.key)=\(.value * 100 | round)") |
       join(","))] | map(tostring) | join(" ")' "$all"; } | column -t
   echo
   echo "refusals by reason"
-  jq -r 'sort_by(.stage, .side) | .[] | "\(.stage) \(.side): \(.all.reasons | to_entries |
+  jq -r '.[] | "\(.stage) \(.side): \(.all.reasons | to_entries |
     map("\(.key)=\(.value)") | join(" "))"' "$all"
 }
 
+# print_targets: the targets of the design page that this run can show, for ours.
+print_targets() {
+  echo
+  echo "targets"
+  jq -r 'map(select(.side == "ours")) as $ours | ($ours | map({key: .stage, value: .}) | from_entries)
+    as $stage | def row($text; $value; $holds):
+      "\(if $holds then "met   " else "MISSED" end) \($text): \($value)";
+    if ($ours | length) == 0 then empty else
+    ($stage["bulk-flood"].ranks.urgent.p99Ms / $stage.half.ranks.urgent.p99Ms) as $ratio |
+    ($stage["bulk-flood"].ranks.urgent | .answered / .sent) as $kept |
+    ([$stage.tenfold.use[]] | min) as $use | ([$ours[].overruns] | add) as $overruns |
+    ([$ours[].linkUse] | max) as $link | ([$ours[].orders.doubleRuns] | add) as $double |
+    ([$ours[].orders.falseNotRun] | add) as $false | ([$ours[].all | .lost + .wrong] | add) as $lost |
+    $stage["domain-drained"].drain.lastNewRequestMs as $drain |
+    row("urgent p99 in the bulk flood, times that at half load (at most 2)"; $ratio; $ratio <= 2),
+    row("urgent share kept in the bulk flood (all)"; $kept; $kept == 1),
+    row("least slot use of a service at ten times capacity (0.9)"; $use; $use >= 0.9),
+    row("slot overruns (0, but for the killed daemon)"; $overruns; $overruns == 0),
+    row("peak link use in one second, of the cap (at most 1)"; $link; $link <= 1),
+    row("double runs (0)"; $double; $double == 0), row("false not-run (0)"; $false; $false == 0),
+    row("lost or wrong answers (0)"; $lost; $lost == 0),
+    row("last new request to a drained domain, ms (3000)"; $drain; $drain <= 3000) end' \
+    "$work/all.json"
+}
+
 prepare_fleet
 killed=$(vm_names_of "$fleet" | sed -n 3p)
 drained=$(jq -r '.vms[3].failureDomain' "$fleet/platform/fleet/roster.json")
@@ -216,6 +243,7 @@
 
 echo "$user: $seconds s for each stage, seed $(jq .seed "$fleet/load.json")," \
   "killed daemon $killed, drained failure domain $drained, commit $(git rev-parse --short HEAD)"
+echo "machine: $(nproc) cores, load average $(cut -d' ' -f1-3 /proc/loadavg) before the run"
 start_fakes "$fleet"
 start_relay "$fleet"
 if ((ours)); then
@@ -226,5 +254,6 @@
 run_side baseline
 stop_fakes
 print_tables
+print_targets
 [ -z "$keep" ] || { mkdir -p "$keep" && cp "$work"/*.json "$keep"; }
 rm -r "$work"
--- a/utils/quickstart.sh
+++ b/utils/quickstart.sh
@@ -48,8 +48,7 @@
 
 # show USER KILLED_VM PLAN SERVICE DRAINED_SERVER
 show() {
-  local fleet=examples/$1 killed=$2 plan=$3 service=$4 drained=$5 store marked
-  store=$(store_of "$fleet")
+  local fleet=examples/$1 killed=$2 plan=$3 service=$4 drained=$5 marked
   echo "$1: starting nine daemons, 36 backend servers and the platform"
   start_fakes "$fleet"
   start_daemons "$fleet"
@@ -65,8 +64,7 @@
     '.phases[0].all | .answered >= 0.98 * .sent'
 
   echo "$1: plan $plan is limited to 5 requests/s of $service"
-  edit_object "$store" config/limits "(.limits[] |
-    select(.plan == \"$plan\" and .service == \"$service\") | .requestsPerSecond) = 5"
+  set_limit "$fleet" "$plan" "$service" 5
   sleep 3
   run_load "$fleet" "$fleet/load.json" "$work/limit.json"
   print_report "$work/limit.json"
@@ -79,9 +77,8 @@
     select(.plan != \"$plan\") | .sent - .answered] | add == 0"
 
   echo "$1: backend server $drained is drained"
+  add_drain "$fleet" backend-server "$drained"
   marked=$(now_ms)
-  edit_object "$store" config/drains \
-    ".drains = [{target: \"backend-server\", name: \"$drained\", startsAt: $marked}]"
   run_load "$fleet" "$fleet/load.json" "$work/drain.json"
   print_report "$work/drain.json"
   check_load "$work/drain.json"
@@ -100,4 +97,4 @@
 show cooperative gauteng-b-1 members-small lookup lookup-western-cape-a-1
 show family attica-b-1 public pages pages-macedonia-a-1
 rm -r "$work"
-echo "quickstart: everything holds"
+echo "quickstart: everything holds, $SECONDS s"
