--- a/utils/fleet.sh
+++ b/utils/fleet.sh
@@ -72,7 +72,11 @@
   wait_until 5 curl -sf "http://$(link_control_of "$1")/stats" || fail "the relay does not answer"
 }
 
-# start_daemons FLEET: all daemons; returns when all are ready.
+# A daemon of a fleet that starts as a whole has no share of plan limits and links until the others
+# have confirmed the roster, which they do once loans of an earlier run have surely expired.
+share_start_seconds=7
+
+# start_daemons FLEET: all daemons; returns when all are ready and have their shares.
 start_daemons() {
   local name
   for name in $(vm_names_of "$1"); do
@@ -83,13 +87,15 @@
     wait_until 15 curl -sf "http://$(jq -r .operators "$1/vms/$name.json")/readyz" ||
       fail "daemon $name is not ready; see $work/$name.log"
   done
+  sleep "$share_start_seconds"
 }
 
 # stop_daemons FLEET: graceful stop of all daemons that still run; each must end with status 0.
 stop_daemons() {
   local name
   for name in $(vm_names_of "$1"); do
-    [ -z "${pids[$name]:-}" ] || kill -s TERM "${pids[$name]}"
+    # A daemon of a drained failure domain has ended by itself.
+    [ -z "${pids[$name]:-}" ] || kill -s TERM "${pids[$name]}" 2>/dev/null || true
   done
   for name in $(vm_names_of "$1"); do
     end_process "$name" 0 || fail "daemon $name did not stop gracefully; see $work/$name.log"
@@ -117,6 +123,25 @@
   [ "$status" = 200 ] || fail "update of $2 was answered with status $status"
 }
 
+# set_limit FLEET PLAN SERVICE REQUESTS_PER_SECOND: changes a plan's limit with the operators' tool.
+set_limit() {
+  "$build/tools/dragonflymoorctl/dragonflymoorctl" --store "$(store_of "$1")" \
+    set limits "$2/$3" "requestsPerSecond=$4" >"$work/ctl.log" 2>&1 ||
+    fail "set limits: $(cat "$work/ctl.log")"
+}
+
+# add_drain FLEET TARGET NAME: adds a drain with the operators' tool, which asks all daemons that
+# still run whether the remaining servers can carry the load.
+add_drain() {
+  local operators=() name
+  for name in $(vm_names_of "$1"); do
+    [ -z "${pids[$name]:-}" ] || operators+=("$(jq -r .operators "$1/vms/$name.json")")
+  done
+  "$build/tools/dragonflymoorctl/dragonflymoorctl" --store "$(store_of "$1")" \
+    --operators "$(IFS=, && echo "${operators[*]}")" drain add "$2" "$3" >"$work/ctl.log" 2>&1 ||
+    fail "drain add: $(cat "$work/ctl.log")"
+}
+
 # start_load FLEET PLAN REPORT [OPTION...]: starts a load that writes its report as JSON.
 start_load() {
   local fleet=$1 plan=$2 report=$3
--- a/utils/quickstart.sh
+++ b/utils/quickstart.sh
@@ -13,9 +13,8 @@
   cmake --build "$build"
 fi
 
-work=$(mktemp -d)
+logs=$(mktemp -d)
 . utils/fleet.sh
-trap 'kill_all' EXIT
 
 # check TEXT REPORT JQ_CONDITION: the condition must hold for the report.
 check() {
@@ -48,8 +47,7 @@
 
 # show USER KILLED_VM PLAN SERVICE DRAINED_SERVER
 show() {
-  local fleet=examples/$1 killed=$2 plan=$3 service=$4 drained=$5 store marked
-  store=$(store_of "$fleet")
+  local fleet=examples/$1 killed=$2 plan=$3 service=$4 drained=$5 marked
   echo "$1: starting nine daemons, 36 backend servers and the platform"
   start_fakes "$fleet"
   start_daemons "$fleet"
@@ -65,8 +63,7 @@
     '.phases[0].all | .answered >= 0.98 * .sent'
 
   echo "$1: plan $plan is limited to 5 requests/s of $service"
-  edit_object "$store" config/limits "(.limits[] |
-    select(.plan == \"$plan\" and .service == \"$service\") | .requestsPerSecond) = 5"
+  set_limit "$fleet" "$plan" "$service" 5
   sleep 3
   run_load "$fleet" "$fleet/load.json" "$work/limit.json"
   print_report "$work/limit.json"
@@ -79,9 +76,8 @@
     select(.plan != \"$plan\") | .sent - .answered] | add == 0"
 
   echo "$1: backend server $drained is drained"
+  add_drain "$fleet" backend-server "$drained"
   marked=$(now_ms)
-  edit_object "$store" config/drains \
-    ".drains = [{target: \"backend-server\", name: \"$drained\", startsAt: $marked}]"
   run_load "$fleet" "$fleet/load.json" "$work/drain.json"
   print_report "$work/drain.json"
   check_load "$work/drain.json"
@@ -97,7 +93,26 @@
   stop_fakes
 }
 
-show cooperative gauteng-b-1 members-small lookup lookup-western-cape-a-1
-show family attica-b-1 public pages pages-macedonia-a-1
-rm -r "$work"
-echo "quickstart: everything holds"
+# run USER ARGUMENT...: shows one user with logs and processes of its own.
+run() (
+  work=$logs/$1
+  mkdir "$work"
+  trap 'kill_all' EXIT
+  show "$@"
+)
+
+# The two fleets share no address and run side by side; their texts are printed one after the other.
+trap 'kill "${shows[@]}" 2>/dev/null || true' EXIT
+run cooperative gauteng-b-1 members-small lookup lookup-western-cape-a-1 >"$logs/1" 2>&1 &
+shows=($!)
+run family attica-b-1 public pages pages-macedonia-a-1 >"$logs/2" 2>&1 &
+shows+=($!)
+status=0
+for number in 1 2; do
+  wait "${shows[$((number - 1))]}" || status=1
+  cat "$logs/$number"
+done
+trap - EXIT
+((status == 0)) || fail "something does not hold; logs are in $logs"
+rm -r "$logs"
+echo "quickstart: everything holds, $SECONDS s"
