Keep refused requests and refusals off the links

Requests to a pool that had just refused were sent again at once, and neither refusals nor message headers were counted.

Ruled out: dropping refusals when the budget is used up; the sender would wait for its deadline.

Change: after a refusal nothing is sent to that pool of another region for 100 to 300 ms; each message counts 256 bytes more, refusals are counted.

--- a/lib/Engine/PoolHost.cpp
+++ b/lib/Engine/PoolHost.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kForwarderTime = 2s; ///< How long a forwarder is told the load of a pool.
 constexpr Duration kViewTime = 1s;      ///< How long the load that a peer reported is used.
 constexpr double kUnknownLoad = 0.5;
+/// Pause after a refusal by a pool of another region, spread so that VMs do not return together.
+constexpr Duration kRefusalPauseLow = 100ms;
+constexpr Duration kRefusalPauseHigh = 300ms;
 constexpr size_t kRivals = 2; ///< Next candidates for a pool that hear its claim.
 
 uint32_t
@@ -329,6 +332,22 @@
   return site != sites_.end() && site->second.region != context_.Self().region;
 }
 
+void
+PoolHost::NoteRemoteRefusal(Now aNow, const PoolId& aPool)
+{
+  if (IsRemote(aPool)) {
+    refusedUntil_[aPool] =
+      aNow.monotonic + context_.random.Between(kRefusalPauseLow, kRefusalPauseHigh);
+  }
+}
+
+bool
+PoolHost::RefusedLately(Now aNow, const PoolId& aPool) const
+{
+  const auto until = refusedUntil_.find(aPool);
+  return until != refusedUntil_.end() && aNow.monotonic < until->second;
+}
+
 void
 PoolHost::Enqueue(Now aNow,
                   const PoolId& aPool,
--- a/lib/Engine/PoolHost.h
+++ b/lib/Engine/PoolHost.h
@@ -63,6 +63,10 @@
   double Load(const PoolId& aPool, Now aNow) const;
   std::optional<PoolState> State(const PoolId& aPool, Now aNow) const;
   bool IsRemote(const PoolId& aPool) const;
+  /// The owner of a pool in another region refused a request: nothing is sent there for a while, so
+  /// that requests and their refusals do not use the link up.
+  void NoteRemoteRefusal(Now aNow, const PoolId& aPool);
+  bool RefusedLately(Now aNow, const PoolId& aPool) const;
 
   /// Queues a request in an own pool. Requests that are refused for it, perhaps this one, come with
   /// TakeRefusals. Precondition: this VM owns the pool.
@@ -105,17 +109,17 @@
     TimePoint nextPoll;
     std::set<BackendId> draining;
   };
-  struct RemoteView
-  {
-    PoolState state;
-    TimePoint heard;
-  };
   struct Attempt
   {
     RequestId request;
     PoolId pool;
     BackendServer server;
   };
+  struct RemoteView
+  {
+    PoolState state;
+    TimePoint heard;
+  };
 
   Hosted& Host(Now aNow, const PoolSite& aSite);
   void Configure(Hosted& aHosted, Now aNow, bool aWarm);
@@ -135,6 +139,7 @@
   std::map<PoolId, PoolSite> sites_;
   std::map<PoolId, Hosted> hosted_;
   std::map<PoolId, RemoteView> remoteViews_;
+  std::map<PoolId, TimePoint> refusedUntil_;
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::vector<PoolRefusal> refusals_;
   uint64_t lastAttempt_ = 0;
--- a/lib/Engine/RequestFlow.cpp
+++ b/lib/Engine/RequestFlow.cpp
@@ -12,6 +12,8 @@
 /// Time after the deadline in which a peer's reply may still arrive.
 constexpr Duration kForwardGrace = 100ms;
 constexpr size_t kCrashTellers = 2; ///< VMs that repeat crash reports to one that starts.
+/// Bytes of a message between VMs besides the request or answer that it carries.
+constexpr uint64_t kMessageBytes = 256;
 constexpr Duration kRetryAfterLow = 1s;
 constexpr Duration kRetryAfterHigh = 3s;
 
@@ -371,7 +373,8 @@
 {
   if (aTo.region == context_.Self().region)
     return true;
-  return links_.TrySend(aTo.region, aFlow.head.rank, aFlow.head.requestBytes, aNow.monotonic);
+  return links_.TrySend(
+    aTo.region, aFlow.head.rank, aFlow.head.requestBytes + kMessageBytes, aNow.monotonic);
 }
 
 void
@@ -423,8 +426,11 @@
     return true;
   const Service* service = fleet_.Lists().FindService(aFlow.head.service);
   assert(service && "checked at admission");
-  if (!links_.TryReserve(
-        *to, aFlow.head.id, aFlow.head.rank, service->expectedAnswerBytes, aNow.monotonic))
+  if (!links_.TryReserve(*to,
+                         aFlow.head.id,
+                         aFlow.head.rank,
+                         service->expectedAnswerBytes + kMessageBytes,
+                         aNow.monotonic))
     return false;
   aFlow.reservedTo = to;
   return true;
@@ -599,6 +605,8 @@
     return ledger_.OnForwardEnded(aNow, aId, reply);
   if (FollowOwner(aNow, *flow, aReply))
     return;
+  if (aReply.outcome == Outcome::NotRun)
+    pools_.NoteRemoteRefusal(aNow, flow->pool);
   flow->triedPools.insert(flow->pool);
   RetryFacts facts = FactsOf(*flow);
   facts.otherServer = !flow->callerGone && targets_.Choose(aNow, QueryOf(*flow)).has_value();
@@ -739,6 +747,12 @@
     context_.hooks.count("refusals", aReply.reason);
   if (!flow)
     return context_.hooks.reply(aId, aReply);
+  const std::optional<RegionId> refusedTo =
+    aReply.outcome == Outcome::Answered ? std::nullopt : LinkToCaller(*flow);
+  // A refusal is sent even when the budget is used up, since the sender waits for it; its bytes are
+  // taken from what later requests may use.
+  if (refusedTo)
+    links_.TrySend(*refusedTo, Rank::Urgent, kMessageBytes, aNow.monotonic);
   const bool gone = flow->callerGone && !flow->carrier;
   const bool paced = aReply.outcome == Outcome::Answered && Pace(aReply, *flow, aAnswerBytes);
   Release(aNow, *flow);
@@ -763,7 +777,7 @@
   if (to) {
     const Service* service = fleet_.Lists().FindService(aFlow.head.service);
     const uint64_t usualBytes = service ? service->expectedAnswerBytes : 0;
-    paced.bytesLeft = aAnswerBytes > 0 ? aAnswerBytes : usualBytes;
+    paced.bytesLeft = (aAnswerBytes > 0 ? aAnswerBytes : usualBytes) + kMessageBytes;
     // The reservation of the answer ends when its last byte may be sent.
     paced.reserved = aFlow.reservedTo.has_value();
     aFlow.reservedTo.reset();
--- a/lib/Engine/TargetChooser.cpp
+++ b/lib/Engine/TargetChooser.cpp
@@ -70,6 +70,8 @@
   for (const PoolSite& site : pools_.PoolsOf(aQuery.service)) {
     if (site.region != aRegion || aQuery.triedPools.contains(site.pool))
       continue;
+    if (pools_.RefusedLately(aNow, site.pool))
+      continue;
     const std::optional<VmId> owner = pools_.Owner(site.pool, aNow);
     if (!owner)
       continue;
--- a/utils/test.sh
+++ b/utils/test.sh
@@ -8,7 +8,7 @@
 cmake --build build
 utils/lint.sh build
 cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DDFM_SANITIZE=address,undefined >/dev/null
-cmake --build build-asan
+cmake --build build-asan --target unittests
 cmake -S . -B build-tsan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DDFM_SANITIZE=thread >/dev/null
 cmake --build build-tsan --target NetTests
 
