--- a/unittests/Net/CallerRequestTest.cpp
+++ b/unittests/Net/CallerRequestTest.cpp
@@ -131,7 +131,7 @@
 Test(Content, EncodingKeepsEndToEndPartsOnly)
 {
   HttpRequest request(http::verb::post, "/place?x=1", 11);
-  request.set("X-Till", "7");
+  request.set("X-Custom", "7");
   request.set("X-Hop", "1");
   request.set(http::field::connection, "keep-alive, x-hop");
   request.set(http::field::transfer_encoding, "chunked");
@@ -143,7 +143,7 @@
   cr_assert(decoded->method() == http::verb::post);
   cr_assert(decoded->target() == "/place?x=1");
   cr_assert(decoded->body() == request.body());
-  cr_assert((*decoded)["X-Till"] == "7");
+  cr_assert((*decoded)["X-Custom"] == "7");
   cr_assert(std::distance(decoded->begin(), decoded->end()) == 1);
 }
 
--- a/unittests/Net/DaemonTest.cpp
+++ b/unittests/Net/DaemonTest.cpp
@@ -82,7 +82,7 @@
 {
   const std::string text = std::string(aRequest.method_string()) + " " +
                            std::string(aRequest.target()) + " " + aRequest.body() + " " +
-                           std::string(aRequest["X-Till"]) + " " + std::string(aRequest["X-Hop"]);
+                           std::string(aRequest["X-Custom"]) + " " + std::string(aRequest["X-Hop"]);
   return { .bytes = TestServer::Answer(
              201, text, "X-Shelf: 12\r\nX-Out: 1\r\nConnection: keep-alive, x-out\r\n") };
 }
@@ -97,7 +97,7 @@
   TestCaller caller(daemon.Self().callers);
   for (const std::string body : { "one", "two", "three" }) {
     HttpRequest request = ServiceRequest("/shelf?id=4", body);
-    request.set("X-Till", "7");
+    request.set("X-Custom", "7");
     request.set("X-Hop", "8");
     request.set(http::field::connection, "x-hop");
     const HttpAnswer answer = caller.Ask(request);
@@ -298,7 +298,7 @@
   TestCaller caller(entry.Self().callers);
   for (const std::string body : { "one", "two" }) {
     HttpRequest request = ServiceRequest("/shelf", body);
-    request.set("X-Till", "7");
+    request.set("X-Custom", "7");
     const HttpAnswer answer = caller.Ask(request);
     cr_assert(answer.result_int() == 201);
     cr_assert(answer.body() == "POST /shelf " + body + " 7 ");
