Keep the slot of a cancelled request until its server knows

A VM gave a slot out again at the moment it closed the connection, before the server had seen that.

Change: PoolHost frees the slot of a timed out or cancelled attempt after 50 ms. New tests for keys that are out of date and for the default deadline of a service.

--- a/lib/Engine/PoolHost.cpp
+++ b/lib/Engine/PoolHost.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kStatePeriod = 250ms;
 constexpr Duration kForwarderTime = 2s; ///< How long a forwarder is told the load of a pool.
 constexpr Duration kViewTime = 1s;      ///< How long the load that a peer reported is used.
+/// Until a server has seen that a connection was closed, its slot is still taken.
+constexpr Duration kCancelTime = 50ms;
 constexpr double kUnknownLoad = 0.5;
 /// Pause after a refusal by a pool of another region, spread so that VMs do not return together.
 constexpr Duration kRefusalPauseLow = 100ms;
@@ -151,6 +153,7 @@
 {
   CheckPause(aNow);
   UpdatePhases(aNow);
+  FreeCancelledSlots(aNow);
   for (auto& [pool, hosted] : hosted_) {
     if (hosted.phase == PoolPhase::NotMine)
       continue;
@@ -396,11 +399,32 @@
     return std::nullopt;
   const Attempt attempt = found->second;
   attempts_.erase(found);
-  Hosted& hosted = hosted_.at(attempt.pool);
-  hosted.pool->OnAttemptEnded(attempt.request, aResult, aNow.monotonic);
+  const bool cancelled =
+    aResult.end == AttemptEnd::TimedOut || aResult.end == AttemptEnd::Cancelled;
+  if (cancelled)
+    cancelled_.push_back({ aNow.monotonic + kCancelTime, attempt, aResult });
+  else
+    FreeSlot(aNow, attempt, aResult);
+  return EndedAttempt{ attempt.request, attempt.pool, attempt.server };
+}
+
+void
+PoolHost::FreeSlot(Now aNow, const Attempt& aAttempt, const AttemptResult& aResult)
+{
+  Hosted& hosted = hosted_.at(aAttempt.pool);
+  hosted.pool->OnAttemptEnded(aAttempt.request, aResult, aNow.monotonic);
   if (hosted.phase != PoolPhase::NotMine)
     Dispatch(aNow, hosted);
-  return EndedAttempt{ attempt.request, attempt.pool, attempt.server };
+}
+
+void
+PoolHost::FreeCancelledSlots(Now aNow)
+{
+  while (!cancelled_.empty() && cancelled_.front().freeAt <= aNow.monotonic) {
+    const CancelledSlot slot = cancelled_.front();
+    cancelled_.pop_front();
+    FreeSlot(aNow, slot.attempt, slot.result);
+  }
 }
 
 std::vector<PoolRefusal>
--- a/lib/Engine/PoolHost.h
+++ b/lib/Engine/PoolHost.h
@@ -115,6 +115,13 @@
     PoolId pool;
     BackendServer server;
   };
+  /// A slot whose request was cancelled: the server frees it when it sees the connection close.
+  struct CancelledSlot
+  {
+    TimePoint freeAt;
+    Attempt attempt;
+    AttemptResult result;
+  };
   struct RemoteView
   {
     PoolState state;
@@ -124,6 +131,8 @@
   Hosted& Host(Now aNow, const PoolSite& aSite);
   void Configure(Hosted& aHosted, Now aNow, bool aWarm);
   void CheckPause(Now aNow);
+  void FreeCancelledSlots(Now aNow);
+  void FreeSlot(Now aNow, const Attempt& aAttempt, const AttemptResult& aResult);
   void UpdatePhases(Now aNow);
   void UpdateDraining(Now aNow, Hosted& aHosted);
   void Dispatch(Now aNow, Hosted& aHosted);
@@ -141,6 +150,7 @@
   std::map<PoolId, RemoteView> remoteViews_;
   std::map<PoolId, TimePoint> refusedUntil_;
   std::unordered_map<AttemptId, Attempt> attempts_;
+  std::deque<CancelledSlot> cancelled_;
   std::vector<PoolRefusal> refusals_;
   uint64_t lastAttempt_ = 0;
   uint64_t epoch_ = 0;
--- a/unittests/Engine/FakeFleet.cpp
+++ b/unittests/Engine/FakeFleet.cpp
@@ -519,8 +519,9 @@
 {
   if (std::exchange(aAttempt->ended, true))
     return;
-  // The server cancels a request whose connection is closed.
-  FreeSlot(aAttempt);
+  // The server cancels a request when it sees that its connection was closed.
+  const bool closedByVm = aEnd == AttemptEnd::TimedOut || aEnd == AttemptEnd::Cancelled;
+  At(closedByVm ? kRegionLatency : Duration(0), [this, aAttempt] { FreeSlot(aAttempt); });
   AttemptResult result;
   result.end = aEnd;
   result.status = aEnd == AttemptEnd::Answered ? 200 : 0;
--- a/unittests/Engine/FleetTest.cpp
+++ b/unittests/Engine/FleetTest.cpp
@@ -137,3 +137,51 @@
               std::string(ToString(sent.reply->reason)).c_str());
   }
 }
+
+namespace {
+
+struct CreatedCase
+{
+  int64_t offsetMinutes;
+  Reason reason;
+};
+
+} // namespace
+
+ParameterizedTestParameters(Fleet, RefusesKeysOutOfDate)
+{
+  static CreatedCase cases[] = {
+    { 4, Reason::BadRequest },   // More than 2 minutes ahead.
+    { -70, Reason::KeyExpired }, // Its record may have been deleted: it could run twice.
+  };
+  return cr_make_param_array(CreatedCase, cases, sizeof(cases) / sizeof(CreatedCase));
+}
+
+// Guards against an order whose claim is already deleted or would outlive its retention.
+ParameterizedTest(CreatedCase* aCase, Fleet, RefusesKeysOutOfDate)
+{
+  FakeFleet fleet({ .seed = 10 });
+  fleet.RunFor(15s);
+  RequestHead head = fleet.Order("out-of-date");
+  head.order->created += std::chrono::minutes(aCase->offsetMinutes);
+  const size_t index = fleet.Send(0, head);
+  fleet.RunFor(3s);
+  const Sent& sent = fleet.Requests()[index];
+  cr_assert(sent.reply.has_value());
+  cr_assert(sent.reply->outcome == Outcome::Unknown);
+  cr_assert(sent.reply->reason == aCase->reason);
+  cr_assert(fleet.Runs().empty());
+}
+
+// Guards against a request without a deadline of its own that is refused at once.
+Test(Fleet, UsesTheDeadlineOfTheServiceByDefault)
+{
+  FakeFleet fleet({ .seed = 10 });
+  fleet.RunFor(15s);
+  RequestHead head = fleet.Lookup();
+  head.deadline = TimePoint();
+  const size_t index = fleet.Send(0, head);
+  fleet.RunFor(1s);
+  const Sent& sent = fleet.Requests()[index];
+  cr_assert(sent.reply && sent.reply->outcome == Outcome::Answered);
+}
