--- a/include/dragonflymoor/Dispatch/ServerPool.h
+++ b/include/dragonflymoor/Dispatch/ServerPool.h
@@ -80,6 +80,8 @@
                     TimePoint aNow);
 
   const BackendServer* Find(const BackendId& aServer) const;
+  /// Ejections since the start, of all servers.
+  uint64_t Ejections() const { return ejections_; }
   uint32_t InFlight() const;
   /// Slots of all servers, and the part of them that may be used now.
   uint32_t Slots() const;
@@ -119,6 +121,7 @@
 
   ServerPoolOptions options_;
   Random random_;
+  uint64_t ejections_ = 0;
   PoolPhase phase_ = PoolPhase::NotMine;
   TimePoint ownedSince_;
   std::map<BackendId, Server> servers_;
--- a/lib/Dispatch/ServerPool.cpp
+++ b/lib/Dispatch/ServerPool.cpp
@@ -226,6 +226,7 @@
   aServer.ejectedUntil = aNow + std::min(time, options_.maxEjectionTime);
   aServer.advanced = *aServer.ejectedUntil;
   ++aServer.ejections;
+  ++ejections_;
 }
 
 void
--- a/lib/Engine/PoolHost.cpp
+++ b/lib/Engine/PoolHost.cpp
@@ -1,6 +1,7 @@
 #include "PoolHost.h"
 
 #include "dragonflymoor/Drains/Drains.h"
+#include "dragonflymoor/Recovery/RetryPolicy.h"
 #include "dragonflymoor/Support/Hash.h"
 #include <algorithm>
 #include <cassert>
@@ -412,7 +413,10 @@
 PoolHost::FreeSlot(Now aNow, const Attempt& aAttempt, const AttemptResult& aResult)
 {
   Hosted& hosted = hosted_.at(aAttempt.pool);
+  const uint64_t ejections = hosted.pool->Servers().Ejections();
   hosted.pool->OnAttemptEnded(aAttempt.request, aResult, aNow.monotonic);
+  if (hosted.pool->Servers().Ejections() > ejections)
+    context_.hooks.count("ejections", ReasonOf(aResult.end));
   if (hosted.phase != PoolPhase::NotMine)
     Dispatch(aNow, hosted);
 }
