Lower the link cap of the scenarios; build sanitizers without -Werror

Cause: the scenarios' link cap of 35 MB/s was never approached, so their check of invariant 1 showed nothing. The sanitizer build at -O1 stopped at false warnings of GCC 12 about Asio's coroutines (maybe-uninitialized, mismatched-new-delete).

Ruled out: disabling these warnings everywhere; the plain build stays strict.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -1,5 +1,9 @@
 # Designated initialisers leave members at their defaults on purpose.
 set(DFM_WARNINGS -Wall -Wextra -Werror -Wno-missing-field-initializers)
+if(DFM_SANITIZE)
+  # With a sanitizer GCC 12 warns falsely about Asio's coroutines; the plain build is strict.
+  list(APPEND DFM_WARNINGS -Wno-error)
+endif()
 
 # dfm_library(<Component> [DEPENDS <Component or target>...])
 # Defines the static library dfm<Component> from every *.cpp file of the current directory.
--- a/unittests/Engine/Scenario.cpp
+++ b/unittests/Engine/Scenario.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kStep = 50ms;
 constexpr Duration kSettle = 15s; ///< Start hold of shares, slow start and take-over have ended.
 constexpr Duration kInForceEverywhere = 15s;
+constexpr uint64_t kLinkCap = 400'000; ///< Bytes a second; a flood that is moved reaches it.
 constexpr uint64_t kPoisonFingerprint = 0xbad;
 
 } // namespace
@@ -20,7 +21,7 @@
 Scenario::Scenario(uint64_t aSeed, unsigned aFaults)
   : faults_(aFaults)
   , random_(aSeed)
-  , fleet_({ .seed = aSeed })
+  , fleet_({ .seed = aSeed, .linkCapBytesPerSecond = kLinkCap })
   , seen_(fleet_.VmCount())
 {
 }
@@ -78,7 +79,7 @@
     head.fingerprint = kPoisonFingerprint;
     fleet_.Send(AnyVm(), head);
   }
-  if (Has(kAbandon) && random_.Below(3) == 0)
+  if (Has(kAbandon) && !fleet_.Requests().empty() && random_.Below(3) == 0)
     fleet_.Abandon(fleet_.Requests().size() - 1 -
                    random_.Below(std::min<size_t>(8, fleet_.Requests().size())));
   for (uint64_t i = random_.Below(3); i > 0; --i) {
