Keep the load report of a paused VM alive in the engine tests

The fake fleet delivered a load report to a paused VM later through references to variables that were gone.

Ruled out: a fault of the engine; the backtrace ends in the fake's lambda.

Change: the lambda holds copies.

--- a/unittests/Engine/FakeFleet.cpp
+++ b/unittests/Engine/FakeFleet.cpp
@@ -251,7 +251,9 @@
     if (!server.crashed)
       report = LoadReport{ .inFlight = server.inFlight, .slots = server.server.slots };
     At(2ms, [this, aNode, run, id = aServer.id, report] {
-      Deliver(aNode, run, [&](Engine& aEngine) { aEngine.OnLoadReport(Clock(), id, report); });
+      Deliver(aNode, run, [this, id, report](Engine& aEngine) {
+        aEngine.OnLoadReport(Clock(), id, report);
+      });
     });
   };
   hooks.publishRoutes = [this, aNode](std::shared_ptr<const RouteTable> aTable) {
@@ -306,7 +308,7 @@
   const Vm& target = nodes_[*to].vm;
   At(Latency(from, target.region, target.failureDomain),
      [this, to = *to, sender = from.peers, aMessage] {
-       Deliver(to, nodes_[to].run, [&, sender, aMessage](Engine& aEngine) {
+       Deliver(to, nodes_[to].run, [this, sender, aMessage](Engine& aEngine) {
          aEngine.OnDatagram(Clock(), sender, aMessage);
        });
      });
