--- a/utils/test.sh
+++ b/utils/test.sh
@@ -13,7 +13,7 @@
 cmake --build build-tsan --target NetTests
 
 if [ -s KNOWN-RED.txt ]; then
-  echo "tests passed over, listed in KNOWN-RED.txt:"
+  echo "known failures, listed in KNOWN-RED.txt:"
   cat KNOWN-RED.txt
 fi
 export ASAN_OPTIONS=detect_leaks=0
