--- a/tools/dragonflymoorctl/Commands.cpp
+++ b/tools/dragonflymoorctl/Commands.cpp
@@ -26,14 +26,14 @@
   "  set limits PLAN/SERVICE requestsPerSecond=R maxInFlight=N\n"
   "  set plans|limits ELEMENT --remove     remove an element\n"
   "  edit LIST --file FILE                 replace a list; FILE - is standard input\n"
-  "  drain add TARGET NAME [--starts_at T] [--wait]\n"
+  "  drain add TARGET NAME [--starts-at T] [--wait]\n"
   "  drain list\n"
   "  drain cancel TARGET NAME\n"
   "  drain watch [TARGET NAME]\n"
   "  status                                members, regions, links and pools\n"
   "LIST is plans, limits, drains, services, backends, links or roster.\n"
   "TARGET is backend-server, vm or failure-domain.\n"
-  "--dry_run shows the difference and writes nothing. --output json gives JSON.\n";
+  "--dry-run shows the difference and writes nothing. --output json gives JSON.\n";
 
 namespace {
 
