Determine the draining servers once for each tick

Cause: the read-through found that PoolHost went through all backend servers and drains once for each pool on every tick of 20 ms.

Ruled out: doing it only when the lists change; a drain begins at a planned time.

Change: one DrainingAt for all pools of a tick. Behaviour stays.

Result: 30 engine tests pass.

--- a/lib/Engine/PoolHost.cpp
+++ b/lib/Engine/PoolHost.cpp
@@ -106,17 +106,16 @@
   for (const Plan& plan : lists.plans)
     weights[plan.id] = plan.weight;
   aHosted.pool->SetPlanWeights(std::move(weights));
-  UpdateDraining(aNow, aHosted);
+  UpdateDraining(aNow, aHosted, DrainingAt(lists, aNow.wall).servers);
 }
 
 void
-PoolHost::UpdateDraining(Now aNow, Hosted& aHosted)
+PoolHost::UpdateDraining(Now aNow, Hosted& aHosted, const std::set<BackendId>& aDraining)
 {
-  std::set<BackendId> draining = DrainingAt(fleet_.Lists(), aNow.wall).servers;
-  if (draining == aHosted.draining)
+  if (aDraining == aHosted.draining)
     return;
-  aHosted.draining = draining;
-  aHosted.pool->SetDraining(draining, aNow.monotonic);
+  aHosted.draining = aDraining;
+  aHosted.pool->SetDraining(aDraining, aNow.monotonic);
 }
 
 void
@@ -155,10 +154,11 @@
   CheckPause(aNow);
   UpdatePhases(aNow);
   FreeCancelledSlots(aNow);
+  const std::set<BackendId> draining = DrainingAt(fleet_.Lists(), aNow.wall).servers;
   for (auto& [pool, hosted] : hosted_) {
     if (hosted.phase == PoolPhase::NotMine)
       continue;
-    UpdateDraining(aNow, hosted);
+    UpdateDraining(aNow, hosted, draining);
     const PoolState state = hosted.pool->State(context_.options.incarnation, aNow.monotonic);
     hosted.remote.OnLoad(
       RemoteAdmission::Load{ .slots = state.slots, .requests = state.inFlight + QueuedSum(state) },
--- a/lib/Engine/PoolHost.h
+++ b/lib/Engine/PoolHost.h
@@ -134,7 +134,7 @@
   void FreeCancelledSlots(Now aNow);
   void FreeSlot(Now aNow, const Attempt& aAttempt, const AttemptResult& aResult);
   void UpdatePhases(Now aNow);
-  void UpdateDraining(Now aNow, Hosted& aHosted);
+  void UpdateDraining(Now aNow, Hosted& aHosted, const std::set<BackendId>& aDraining);
   void Dispatch(Now aNow, Hosted& aHosted);
   bool StartOne(Now aNow, Hosted& aHosted, const Pool::Start& aStart);
   void PollLoads(Now aNow, Hosted& aHosted);
