Keep the fixed seed of the simulated fleet in one place

Cause: the read-through found the seed, the case counts and their reason twice, in the tests of Config and Membership, which share the simulated fleet.

Change: both stand in unittests/Config/SimulatedFleet.h. Assertions, seed and counts stay.

--- a/unittests/Config/ListKeeperTest.cpp
+++ b/unittests/Config/ListKeeperTest.cpp
@@ -1,6 +1,5 @@
 #include "SimulatedFleet.h"
 #include <criterion/criterion.h>
-#include <cstdlib>
 #include <rapidcheck.h>
 
 using namespace dfm;
@@ -8,15 +7,6 @@
 
 namespace {
 
-// 150 cases take 5 s in an optimised build and over 4 min in the debug build with sanitizers.
-#ifdef __OPTIMIZE__
-constexpr const char* kRapidCheck = "seed=20261204 max_success=150";
-#else
-constexpr const char* kRapidCheck = "seed=20261204 max_success=40";
-#endif
-// Runs in CI are repeatable; RC_PARAMS in the environment takes precedence.
-[[maybe_unused]] const int kSeed = setenv("RC_PARAMS", kRapidCheck, 0);
-
 // Members recover within 8 s of the last fault, a store call is repeated within 5 s, and a pull
 // takes at most two tries of 1 s.
 constexpr Duration kBound = 15s;
--- a/unittests/Config/SimulatedFleet.h
+++ b/unittests/Config/SimulatedFleet.h
@@ -5,6 +5,7 @@
 #include "dragonflymoor/Membership/Membership.h"
 #include "dragonflymoor/Model/Lists.h"
 #include <algorithm>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <map>
 #include <memory>
@@ -16,6 +17,15 @@
 
 namespace dfm::test {
 
+// 150 cases take 5 s in an optimised build and over 4 min in the debug build with sanitizers.
+#ifdef __OPTIMIZE__
+inline constexpr const char* kRapidCheck = "seed=20261204 max_success=150";
+#else
+inline constexpr const char* kRapidCheck = "seed=20261204 max_success=40";
+#endif
+// Runs in CI are repeatable; RC_PARAMS in the environment takes precedence.
+[[maybe_unused]] inline const int kSeed = setenv("RC_PARAMS", kRapidCheck, 0);
+
 constexpr size_t kVmCount = 9;
 constexpr size_t kRegionCount = 3;
 constexpr Duration kTick = 20ms;
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -1,7 +1,6 @@
 #include "../Config/SimulatedFleet.h"
 #include "dragonflymoor/Membership/PauseDetector.h"
 #include <criterion/criterion.h>
-#include <cstdlib>
 #include <rapidcheck.h>
 
 using namespace dfm;
@@ -9,15 +8,6 @@
 
 namespace {
 
-// 150 cases take 5 s in an optimised build and over 4 min in the debug build with sanitizers.
-#ifdef __OPTIMIZE__
-constexpr const char* kRapidCheck = "seed=20261204 max_success=150";
-#else
-constexpr const char* kRapidCheck = "seed=20261204 max_success=40";
-#endif
-// Runs in CI are repeatable; RC_PARAMS in the environment takes precedence.
-[[maybe_unused]] const int kSeed = setenv("RC_PARAMS", kRapidCheck, 0);
-
 // One probe round without an answer (0.3 s after at most a period), the suspicion (1 s), the way of
 // the news, and a margin for a probe that several VMs send late.
 constexpr Duration kDeadBound = 3s;
