--- /dev/null
+++ b/include/dragonflymoor/Gateway/PageServer.h
@@ -0,0 +1,48 @@
+#ifndef DRAGONFLYMOOR_GATEWAY_PAGESERVER_H
+#define DRAGONFLYMOOR_GATEWAY_PAGESERVER_H
+
+#include "dragonflymoor/Gateway/Protocol.h"
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace dfm {
+
+using Page = http::response<http::string_body>;
+
+/// A page with a body. Safe to call from any thread.
+Page
+MakePage(http::status aStatus, std::string_view aType, std::string aBody);
+
+/// HTTP server that answers GET requests from memory: readiness, directory, metrics. Belongs to the
+/// thread of its io_context.
+class PageServer : public std::enable_shared_from_this<PageServer>
+{
+public:
+  using Handler = std::function<Page(std::string_view aTarget)>;
+
+  PageServer(asio::io_context& aContext, Handler aHandler);
+
+  error_code Listen(const Endpoint& aEndpoint);
+  void Start();
+  /// Accepts no further connection.
+  void Stop();
+
+private:
+  asio::awaitable<void> Accept(std::shared_ptr<PageServer> aSelf);
+  asio::awaitable<void> Serve(std::shared_ptr<PageServer> aSelf, tcp::socket aSocket);
+
+  asio::io_context& context_;
+  Handler handler_;
+  tcp::acceptor acceptor_;
+};
+
+/// Opens a listening socket.
+error_code
+ListenOn(tcp::acceptor& aAcceptor, const Endpoint& aEndpoint);
+
+} // namespace dfm
+
+#endif
--- /dev/null
+++ b/include/dragonflymoor/Steering/FleetView.h
@@ -0,0 +1,44 @@
+#ifndef DRAGONFLYMOOR_STEERING_FLEETVIEW_H
+#define DRAGONFLYMOOR_STEERING_FLEETVIEW_H
+
+#include "dragonflymoor/Model/Fleet.h"
+#include "dragonflymoor/Steering/Manifest.h"
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dfm {
+
+/// One run of a backend server, as it registered itself.
+struct Instance
+{
+  BackendId id;
+  uint64_t bornMs = 0; ///< Wall time of the start; tells two runs under one id apart.
+  ServiceId service;
+  RegionId region;
+  FailureDomainId failureDomain;
+  Endpoint endpoint;
+  unsigned slots = 1; ///< Requests served at once.
+  bool draining = false;
+  TimePoint coldUntil; ///< Until then it bears only the service's cold rate.
+
+  bool operator==(const Instance&) const = default;
+};
+
+/// What a VM believes of the fleet at one moment. Immutable; handed from the control thread to the
+/// traffic thread.
+struct FleetView
+{
+  std::shared_ptr<const RouteIndex> routes; ///< Null while no manifest is known.
+  std::vector<Instance> instances;
+  std::set<FailureDomainId> evacuated; ///< Their instances get no new requests.
+  std::vector<Vm> usableVms;           ///< Live and not leaving, this VM included while it serves.
+  std::vector<Vm> knownVms;            ///< Also those that may only be unreachable.
+  uint64_t instancesRevision = 0;      ///< Of the store; for logs.
+  uint64_t evacuationsRevision = 0;    ///< Of the store; for logs.
+};
+
+} // namespace dfm
+
+#endif
--- /dev/null
+++ b/include/dragonflymoor/Steering/InstanceTracker.h
@@ -0,0 +1,126 @@
+#ifndef DRAGONFLYMOOR_STEERING_INSTANCETRACKER_H
+#define DRAGONFLYMOOR_STEERING_INSTANCETRACKER_H
+
+#include "dragonflymoor/Shares/TokenBucket.h"
+#include "dragonflymoor/Steering/FleetView.h"
+#include "dragonflymoor/Support/Time.h"
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace dfm {
+
+/// Why an instance gets no request at the moment.
+enum class Unusable
+{
+  No, ///< It may be used.
+  Draining,
+  Evacuated,
+  Down, ///< Connects fail, it broke connections or fell silent; until a health check passes.
+  Cold, ///< The VM's part of its cold rate is used up.
+  Full,
+};
+
+std::string_view
+ToString(Unusable aReason);
+
+/// What a health check showed.
+enum class ProbeResult
+{
+  Healthy,
+  Unhealthy,   ///< The instance is leaving, failing, or another one has its address.
+  Unanswered,  ///< A connection opened, but no answer came: all slots may be in use.
+  Unreachable, ///< No connection could be opened.
+};
+
+/// What this VM knows of one instance: requests in flight, health, and its part of the rate that a
+/// cold instance bears. Not thread-safe.
+class InstanceTracker
+{
+public:
+  explicit InstanceTracker(Instance aInstance);
+
+  const Instance& Spec() const { return spec_; }
+  bool IsCold(TimePoint aNow) const { return aNow < spec_.coldUntil; }
+  /// Replaces the registration. A new run forgets what was known of the earlier one.
+  void SetSpec(Instance aInstance);
+  void SetEvacuated(bool aEvacuated) { evacuated_ = aEvacuated; }
+  /// Rate, per second, at which this VM may send requests while the instance is cold.
+  void SetColdRate(double aPerSecond) { coldRate_ = aPerSecond; }
+  /// Adds what the cold rate allows since the last call. To be called many times a second.
+  void OnTick(TimePoint aNow);
+
+  /// Whether and why the instance must not get a request now, slots aside.
+  Unusable WhyUnusable(TimePoint aNow) const;
+  /// Slots that no known request uses; negative when it is overfull.
+  int FreeSlots(TimePoint aNow) const;
+  /// Requests of all VMs that are known to be at the instance.
+  unsigned Busy(TimePoint aNow) const;
+  unsigned OwnInFlight() const { return inFlight_; }
+  /// A poor choice while others have free slots: it fails or sheds often, or is far slower than
+  /// aTypical. Now and then it is false for one request, so that a recovery is noticed.
+  bool IsDegraded(TimePoint aNow, Duration aTypical) const;
+
+  /// Takes one request of the cold rate when the instance is cold. Must be called right before a
+  /// request is sent.
+  void OnSend(TimePoint aNow);
+  /// A request ended, in any way.
+  void OnEnd();
+  void OnSuccess(TimePoint aNow, Duration aLatency);
+  /// The instance refused the request without running it, or answered with a failure.
+  void OnFailure(TimePoint aNow, bool aShed);
+  /// A connect failed or a connection broke: the instance is down until a health check passes.
+  void OnUnreachable(TimePoint aNow);
+  /// The end of a health check; aColdLeft is what the instance says.
+  void OnProbe(TimePoint aNow, ProbeResult aResult, Duration aColdLeft);
+  /// When the next health check is due; empty while the instance is not down.
+  std::optional<TimePoint> ProbeDueAt() const;
+  void OnProbeSent(TimePoint aNow);
+
+  /// Fingerprints of requests on which the instance broke its connection shortly before aNow. They
+  /// may have crashed it, if it turns out to be gone.
+  std::vector<uint64_t> TakeCrashSuspects(TimePoint aNow);
+  void AddCrashSuspect(TimePoint aNow, uint64_t aFingerprint);
+
+  /// Requests of another VM at this instance.
+  void OnPeerLoad(TimePoint aNow, const VmId& aVm, unsigned aInFlight);
+
+  /// Time of the last complete answer or start; for the detection of silence.
+  TimePoint LastHeard() const { return lastHeard_; }
+  Duration MeanLatency() const { return meanLatency_; }
+
+private:
+  struct PeerLoad
+  {
+    unsigned inFlight = 0;
+    TimePoint at;
+  };
+
+  Instance spec_;
+  bool evacuated_ = false;
+  unsigned inFlight_ = 0;
+  std::map<VmId, PeerLoad> peers_;
+  TokenBucket cold_;
+  double coldRate_ = 0;
+  std::optional<TimePoint> coldFilledAt_;
+  double failureShare_ = 0; ///< Moving mean over answers.
+  unsigned answers_ = 0;    ///< Since the start of the run, bounded.
+  Duration meanLatency_{};
+  TimePoint lastHeard_;
+  TimePoint shedUntil_; ///< Counts as full until then.
+  TimePoint nextTrial_; ///< A degraded instance gets one request after this time.
+  struct CrashSuspect
+  {
+    TimePoint at;
+    uint64_t fingerprint = 0;
+  };
+  std::vector<CrashSuspect> crashSuspects_; ///< Bounded; the oldest first.
+  bool down_ = false;
+  unsigned failedProbes_ = 0;
+  TimePoint probeAt_;
+};
+
+} // namespace dfm
+
+#endif
--- /dev/null
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -0,0 +1,75 @@
+#ifndef DRAGONFLYMOOR_STEERING_PEERMESSAGES_H
+#define DRAGONFLYMOOR_STEERING_PEERMESSAGES_H
+
+#include "dragonflymoor/Steering/Dispatcher.h"
+#include "dragonflymoor/Steering/FleetKeeper.h"
+#include "dragonflymoor/Wire/Codec.h"
+#include <array>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace dfm {
+
+/// UDP: all requests that the sender has in flight.
+struct PeerLoad
+{
+  std::vector<InstanceLoad> loads;
+
+  auto operator<=>(const PeerLoad&) const = default;
+};
+
+/// UDP: a request crashed an instance.
+struct PeerCrash
+{
+  uint64_t reportId = 0;
+  uint64_t fingerprint = 0;
+
+  auto operator<=>(const PeerCrash&) const = default;
+};
+
+/// TCP: asks for all kinds of objects of which the receiver knows a later revision.
+struct StateRequest
+{
+  std::array<uint64_t, kObjectKindCount> revisions{};
+
+  auto operator<=>(const StateRequest&) const = default;
+};
+
+struct StateReply
+{
+  struct Kind
+  {
+    ObjectKind kind = ObjectKind::Manifest;
+    ObjectSet set;
+
+    bool operator==(const Kind&) const = default;
+  };
+  std::vector<Kind> kinds;
+
+  bool operator==(const StateReply&) const = default;
+};
+
+using PeerMessage = std::variant<PeerLoad, PeerCrash, StateRequest, StateReply>;
+
+struct PeerEnvelope
+{
+  VmId sender;
+  PeerMessage message;
+
+  bool operator==(const PeerEnvelope&) const = default;
+};
+
+/// Encodes one datagram or the payload of one frame. Safe to call from any thread.
+std::string
+EncodePeer(const VmId& aSender, const PeerMessage& aMessage);
+
+/// Inverse of EncodePeer. Bytes from an untrusted sender give an error and never undefined
+/// behaviour. Safe to call from any thread.
+Decoded<PeerEnvelope>
+DecodePeer(std::string_view aBytes);
+
+} // namespace dfm
+
+#endif
--- a/include/dragonflymoor/Support/Log.h
+++ b/include/dragonflymoor/Support/Log.h
@@ -26,7 +26,7 @@
 void
 SetLogLevel(LogLevel aLevel);
 
-/// Writes one line "time=... level=... component=... message=... key=value..." to standard error.
+/// Writes one line "time=... level=... component=... message=... key=value..." to standard output.
 /// Values with blanks, quotes or control characters are quoted and escaped. Safe to call from any
 /// thread.
 void
@@ -35,6 +35,16 @@
     std::string_view aMessage,
     std::initializer_list<LogField> aFields = {});
 
+/// From now on Log only collects lines, up to a bound, and FlushLog writes them: no caller waits for
+/// a slow reader of standard output. Lines beyond the bound are dropped and counted.
+void
+BufferLog();
+
+/// Writes as many collected lines as standard output takes without waiting. Safe to call from any
+/// thread.
+void
+FlushLog();
+
 /// The line that Log writes, without the time; for tests and other sinks.
 std::string
 FormatLogLine(LogLevel aLevel,
--- /dev/null
+++ b/lib/Gateway/FleetSync.cpp
@@ -0,0 +1,461 @@
+#include "dragonflymoor/Gateway/FleetSync.h"
+
+#include "dragonflymoor/Gateway/PageServer.h"
+#include "dragonflymoor/Net/Clock.h"
+#include "dragonflymoor/Support/Log.h"
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace dfm {
+
+namespace {
+
+constexpr std::string_view kComponent = "fleet";
+
+/// How long one watch waits. A connection that fell silent is noticed after it, so it must leave
+/// time to repeat the call within the bounds for configuration and drains.
+constexpr Duration kWatchWait = 3s;
+
+/// Wait between two calls to a store that does not answer: at most this, doubled from the first
+/// one. The store's rate is shared by all VMs.
+constexpr Duration kFirstRetryWait = 100ms;
+constexpr Duration kLongestRetryWait = 800ms;
+
+/// How often another VM is asked for the state while the store does not answer.
+constexpr Duration kAskPeriod = 300ms;
+constexpr Duration kAskTimeout = 500ms;
+
+/// VMs that were registered are listed this often; changes are heard from the other VMs sooner.
+constexpr Duration kListVmsPeriod = 10s;
+
+constexpr Duration kTickPeriod = 50ms;
+
+/// Probes of membership: a silent VM is suspected after one period and dead after five more.
+constexpr Duration kProbePeriod = 200ms;
+
+FleetKeeperHooks
+MakeKeeperHooks(Metrics& aMetrics)
+{
+  return {
+    .manifestChanged =
+      [&aMetrics](const Manifest& aManifest) {
+        aMetrics.SetGauge("manifest_version", static_cast<double>(aManifest.version));
+        Log(LogLevel::Info,
+            kComponent,
+            "manifest in force",
+            { { "version", std::to_string(aManifest.version) },
+              { "routes", std::to_string(aManifest.routes.size()) },
+              { "services", std::to_string(aManifest.services.size()) } });
+      },
+    .rejected =
+      [&aMetrics](const Findings& aFindings) {
+        aMetrics.Count("objects-rejected");
+        std::string text = FormatFindings(aFindings);
+        Log(LogLevel::Warning, kComponent, "object rejected", { { "findings", std::move(text) } });
+      },
+    .instanceChanged =
+      [](const Instance& aInstance, std::string_view aChange) {
+        Log(LogLevel::Info,
+            kComponent,
+            "instance changed",
+            { { "instance", aInstance.id.Value() },
+              { "service", aInstance.service.Value() },
+              { "failure_domain", aInstance.failureDomain.Value() },
+              { "endpoint", ToText(aInstance.endpoint) },
+              { "born_ms", std::to_string(aInstance.bornMs) },
+              { "change", std::string(aChange) } });
+      },
+  };
+}
+
+} // namespace
+
+FleetSync::FleetSync(asio::io_context& aContext,
+                     FleetSyncOptions aOptions,
+                     StoreApi aStore,
+                     ObjectDecoders aDecoders,
+                     Metrics& aMetrics,
+                     Publish aPublish)
+  : context_(aContext)
+  , options_(std::move(aOptions))
+  , store_(std::move(aStore))
+  , metrics_(aMetrics)
+  , publish_(std::move(aPublish))
+  , keeper_(std::move(aDecoders), MakeKeeperHooks(aMetrics))
+  , random_(options_.randomSeed)
+  , datagrams_(
+      aContext,
+      [this](Endpoint aFrom, DatagramMessage aMessage) {
+        if (membershipStarted_)
+          membership_->OnDatagram(ReadClocks(), aFrom, aMessage);
+      },
+      [this](std::string_view aName, Reason aReason) { metrics_.Count(aName, aReason); })
+  , acceptor_(aContext)
+{
+  MembershipOptions membership{ .self = options_.self,
+                                .incarnation = { random_.Next() },
+                                .seeds = options_.seeds,
+                                .randomSeed = random_.Next(),
+                                .probePeriod = kProbePeriod };
+  membership.startedAtMs = static_cast<uint64_t>(ReadClocks().wall.time_since_epoch().count());
+  membership_ = std::make_unique<Membership>(
+    std::move(membership),
+    MembershipHooks{
+      .sendDatagram = [this](const Endpoint& aTo,
+                             const DatagramMessage& aMessage) { datagrams_.Send(aTo, aMessage); },
+      // Whole member lists come from the store; updates travel with the probes.
+      .sendStream = [](const Vm&, const StreamMessage&) {},
+      .memberChanged =
+        [](const MemberUpdate& aUpdate) {
+          Log(LogLevel::Info,
+              kComponent,
+              "vm changed",
+              { { "vm", aUpdate.vm.id.Value() },
+                { "state", std::to_string(static_cast<int>(aUpdate.state)) },
+                { "leaving", aUpdate.leaving ? "1" : "0" } });
+        },
+      .acked = [](TimePoint) {},
+    });
+}
+
+error_code
+FleetSync::Open()
+{
+  const error_code error = ListenOn(acceptor_, options_.self.peers);
+  return error ? error : datagrams_.Open(options_.self.peers);
+}
+
+void
+FleetSync::Start()
+{
+  for (size_t i = 0; i < kObjectKindCount; ++i)
+    asio::co_spawn(context_, FollowKind(static_cast<ObjectKind>(i)), asio::detached);
+  asio::co_spawn(context_, Register(), asio::detached);
+  asio::co_spawn(context_, AskPeers(), asio::detached);
+  asio::co_spawn(context_, AcceptPeers(), asio::detached);
+  asio::co_spawn(context_, Tick(), asio::detached);
+}
+
+asio::awaitable<void>
+FleetSync::Sleep(Duration aDuration)
+{
+  asio::steady_timer timer(context_, aDuration);
+  co_await timer.async_wait(kAwaitTuple);
+}
+
+bool
+FleetSync::StoreReachable() const
+{
+  return std::all_of(reachable_.begin(), reachable_.end(), [](bool aIt) { return aIt; });
+}
+
+void
+FleetSync::OnStoreAnswer(ObjectKind aKind, const std::optional<StoreError>& aError)
+{
+  const bool before = StoreReachable();
+  reachable_[static_cast<size_t>(aKind)] = !aError;
+  if (aError) {
+    metrics_.Count("store-calls-failed", Reason::StoreUnavailable);
+    Log(LogLevel::Warning,
+        kComponent,
+        "store call failed",
+        { { "kind", std::string(ToString(aKind)) }, { "error", aError->message } });
+  }
+  if (before == StoreReachable())
+    return;
+  Log(LogLevel::Info, kComponent, before ? "store lost" : "store regained");
+  metrics_.SetGauge("store_reachable", before ? 0 : 1);
+  keeper_.OnStoreReachable(ReadClocks().monotonic, !before);
+}
+
+asio::awaitable<bool>
+FleetSync::ListKind(ObjectKind aKind)
+{
+  auto set = co_await store_.list(aKind);
+  if (!set) {
+    OnStoreAnswer(aKind, set.error());
+    co_return false;
+  }
+  OnStoreAnswer(aKind, std::nullopt);
+  keeper_.OnSet(ReadClocks().monotonic, aKind, std::move(*set));
+  PublishView();
+  co_return true;
+}
+
+asio::awaitable<void>
+FleetSync::FollowKind(ObjectKind aKind)
+{
+  Duration wait = kFirstRetryWait;
+  bool listed = false;
+  for (;;) {
+    if (!listed) {
+      listed = co_await ListKind(aKind);
+    } else {
+      auto changes = co_await store_.watch(aKind, keeper_.Set(aKind).revision, kWatchWait);
+      if (changes) {
+        OnStoreAnswer(aKind, std::nullopt);
+        keeper_.OnChanges(ReadClocks().monotonic, aKind, changes->revision, changes->changes);
+        if (!changes->changes.empty())
+          PublishView();
+        wait = kFirstRetryWait;
+        continue;
+      }
+      // A watch that was cut may have missed changes without a word: the list shows them.
+      listed = false;
+      if (changes.error().kind == StoreError::Kind::HistoryGone)
+        continue;
+      OnStoreAnswer(aKind, changes.error());
+      continue;
+    }
+    if (listed) {
+      wait = kFirstRetryWait;
+      continue;
+    }
+    co_await Sleep(wait);
+    wait = std::min(2 * wait, kLongestRetryWait);
+  }
+}
+
+asio::awaitable<void>
+FleetSync::Register()
+{
+  Duration wait = kFirstRetryWait;
+  for (;;) {
+    const auto registered = co_await store_.registerVm(options_.self);
+    if (registered)
+      break;
+    Log(
+      LogLevel::Warning, kComponent, "not registered", { { "error", registered.error().message } });
+    co_await Sleep(wait);
+    wait = std::min(2 * wait, kLongestRetryWait);
+  }
+  while (!stopping_) {
+    co_await ListVms();
+    co_await Sleep(kListVmsPeriod);
+  }
+}
+
+asio::awaitable<void>
+FleetSync::ListVms()
+{
+  auto vms = co_await store_.listVms();
+  if (!vms) {
+    Log(LogLevel::Warning, kComponent, "vms not listed", { { "error", vms.error().message } });
+    co_return;
+  }
+  registeredVms_ = std::move(*vms);
+  std::vector<PlatformVm> list;
+  for (const Vm& vm : registeredVms_)
+    list.push_back({ .vm = vm });
+  if (membershipStarted_)
+    membership_->OnVmList(ReadClocks(), list);
+}
+
+std::optional<Endpoint>
+FleetSync::ChoosePeer()
+{
+  std::vector<Endpoint> peers;
+  for (const Vm& vm : membership_->LiveNotLeaving())
+    peers.push_back(vm.peers);
+  if (peers.size() <= 1) {
+    peers.insert(peers.end(), options_.seeds.begin(), options_.seeds.end());
+    for (const Vm& vm : registeredVms_)
+      peers.push_back(vm.peers);
+  }
+  std::erase(peers, options_.self.peers);
+  if (peers.empty())
+    return std::nullopt;
+  return peers[random_.Below(peers.size())];
+}
+
+asio::awaitable<void>
+FleetSync::AskPeers()
+{
+  for (;;) {
+    co_await Sleep(kAskPeriod);
+    if (StoreReachable())
+      continue;
+    if (const auto peer = ChoosePeer())
+      co_await AskPeer(*peer);
+  }
+}
+
+asio::awaitable<void>
+FleetSync::AskPeer(Endpoint aPeer)
+{
+  tcp::socket socket(context_);
+  asio::steady_timer timer(context_, kAskTimeout);
+  timer.async_wait([&socket](error_code aError) {
+    error_code ignored; // The socket is given up in any case.
+    if (!aError)
+      socket.close(ignored);
+  });
+  auto [error] = co_await socket.async_connect(ToTcp(aPeer), kAwaitTuple);
+  timer.cancel();
+  // The handler of the timer refers to the socket until it has run.
+  co_await asio::post(context_, asio::use_awaitable);
+  if (error) {
+    metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
+    co_return;
+  }
+  const auto done = std::make_shared<asio::steady_timer>(context_, kAskTimeout);
+  auto connection = std::make_shared<FrameConnection>(
+    std::move(socket),
+    FrameConnection::Hooks{
+      .payload = [this, done](std::string aPayload) -> tl::expected<void, CodecError> {
+        const auto envelope = DecodePeer(aPayload);
+        if (!envelope)
+          return tl::unexpected(envelope.error());
+        if (const auto* reply = std::get_if<StateReply>(&envelope->message))
+          OnState(*reply);
+        done->cancel();
+        return {};
+      },
+      .closed = [done](std::string) { done->cancel(); },
+    });
+  connection->Start();
+  StateRequest request;
+  for (size_t i = 0; i < kObjectKindCount; ++i)
+    request.revisions[i] = keeper_.Set(static_cast<ObjectKind>(i)).revision;
+  connection->Send({ .payload = EncodePeer(options_.self.id, request) });
+  co_await done->async_wait(kAwaitTuple);
+  connection->Close();
+}
+
+asio::awaitable<void>
+FleetSync::AcceptPeers()
+{
+  for (;;) {
+    auto [error, socket] = co_await acceptor_.async_accept(kAwaitTuple);
+    if (error == asio::error::operation_aborted)
+      co_return;
+    if (error) {
+      Log(LogLevel::Warning, kComponent, "accept failed", { { "error", error.message() } });
+      co_await Sleep(kFirstRetryWait);
+      continue;
+    }
+    // The connection refers to itself through its hooks until it closes.
+    const auto holder = std::make_shared<std::shared_ptr<FrameConnection>>();
+    *holder = std::make_shared<FrameConnection>(
+      std::move(socket),
+      FrameConnection::Hooks{
+        .payload = [this, holder](std::string aPayload) -> tl::expected<void, CodecError> {
+          const auto envelope = DecodePeer(aPayload);
+          if (!envelope)
+            return tl::unexpected(envelope.error());
+          const auto* request = std::get_if<StateRequest>(&envelope->message);
+          if (request == nullptr)
+            return tl::unexpected(CodecError{ "message: not a request" });
+          const auto connection = *holder;
+          if (connection != nullptr)
+            connection->Send({ .payload = EncodePeer(options_.self.id, ReplyTo(*request)) });
+          return {};
+        },
+        .closed = [holder](std::string) { holder->reset(); },
+      });
+    (*holder)->Start();
+  }
+}
+
+StateReply
+FleetSync::ReplyTo(const StateRequest& aRequest) const
+{
+  StateReply reply;
+  for (size_t i = 0; i < kObjectKindCount; ++i) {
+    const auto kind = static_cast<ObjectKind>(i);
+    if (keeper_.Set(kind).revision > aRequest.revisions[i])
+      reply.kinds.push_back({ .kind = kind, .set = keeper_.Set(kind) });
+  }
+  return reply;
+}
+
+void
+FleetSync::OnState(const StateReply& aReply)
+{
+  for (const StateReply::Kind& kind : aReply.kinds) {
+    if (reachable_[static_cast<size_t>(kind.kind)])
+      continue; // The store itself is nearer to the truth.
+    Log(LogLevel::Info,
+        kComponent,
+        "state from another vm",
+        { { "kind", std::string(ToString(kind.kind)) },
+          { "revision", std::to_string(kind.set.revision) } });
+    keeper_.OnSet(ReadClocks().monotonic, kind.kind, kind.set);
+  }
+  if (!aReply.kinds.empty())
+    PublishView();
+}
+
+void
+FleetSync::StartMembership()
+{
+  membershipStarted_ = true;
+  membership_->Start(ReadClocks());
+  std::vector<PlatformVm> list;
+  for (const Vm& vm : registeredVms_)
+    list.push_back({ .vm = vm });
+  if (!list.empty())
+    membership_->OnVmList(ReadClocks(), list);
+}
+
+void
+FleetSync::PublishView()
+{
+  if (!membershipStarted_ && keeper_.HasManifest())
+    StartMembership();
+  auto view = std::make_shared<FleetView>(keeper_.View());
+  if (membershipStarted_) {
+    view->usableVms = membership_->LiveNotLeaving();
+    for (const MemberUpdate& member : membership_->Members()) {
+      if (member.state != MemberState::Left)
+        view->knownVms.push_back(member.vm);
+    }
+    publishedEpoch_ = membership_->Epoch();
+  }
+  view->knownVms.push_back(options_.self);
+  publish_(std::move(view));
+}
+
+asio::awaitable<void>
+FleetSync::Tick()
+{
+  for (;;) {
+    co_await Sleep(kTickPeriod);
+    const Now now = ReadClocks();
+    const bool removed = keeper_.OnTick(now.monotonic);
+    if (membershipStarted_)
+      membership_->OnTick(now);
+    if (removed || (membershipStarted_ && membership_->Epoch() != publishedEpoch_))
+      PublishView();
+  }
+}
+
+void
+FleetSync::BeginStop()
+{
+  stopping_ = true;
+  if (membershipStarted_)
+    membership_->SetLeaving(ReadClocks());
+  asio::co_spawn(
+    context_,
+    [this]() -> asio::awaitable<void> {
+      const auto removed = co_await store_.removeVm(options_.self.id);
+      if (!removed)
+        Log(LogLevel::Warning,
+            kComponent,
+            "registration not removed",
+            { { "error", removed.error().message } });
+    },
+    asio::detached);
+}
+
+void
+FleetSync::Leave()
+{
+  if (membershipStarted_)
+    membership_->Leave(ReadClocks());
+}
+
+} // namespace dfm
--- /dev/null
+++ b/lib/Gateway/PageServer.cpp
@@ -0,0 +1,114 @@
+#include "dragonflymoor/Gateway/PageServer.h"
+
+#include "dragonflymoor/Support/Log.h"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace dfm {
+
+namespace {
+
+/// Callers ask again after seconds; a connection without a request for longer only costs memory.
+constexpr auto kIdleTimeout = std::chrono::seconds(30);
+
+/// Pause after a failed accept, which is mostly caused by a lack of file descriptors.
+constexpr auto kAcceptPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+Page
+MakePage(http::status aStatus, std::string_view aType, std::string aBody)
+{
+  Page page(aStatus, 11);
+  page.set(http::field::content_type, aType);
+  page.body() = std::move(aBody);
+  return page;
+}
+
+error_code
+ListenOn(tcp::acceptor& aAcceptor, const Endpoint& aEndpoint)
+{
+  const tcp::endpoint endpoint = ToTcp(aEndpoint);
+  error_code error;
+  aAcceptor.open(endpoint.protocol(), error);
+  if (!error)
+    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    aAcceptor.bind(endpoint, error);
+  if (!error)
+    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  return error;
+}
+
+PageServer::PageServer(asio::io_context& aContext, Handler aHandler)
+  : context_(aContext)
+  , handler_(std::move(aHandler))
+  , acceptor_(aContext)
+{
+}
+
+error_code
+PageServer::Listen(const Endpoint& aEndpoint)
+{
+  return ListenOn(acceptor_, aEndpoint);
+}
+
+void
+PageServer::Start()
+{
+  asio::co_spawn(context_, Accept(shared_from_this()), asio::detached);
+}
+
+void
+PageServer::Stop()
+{
+  error_code ignored; // The socket is given up in any case.
+  acceptor_.close(ignored);
+}
+
+asio::awaitable<void>
+PageServer::Accept(std::shared_ptr<PageServer> aSelf)
+{
+  while (acceptor_.is_open()) {
+    auto [error, socket] = co_await acceptor_.async_accept(kAwaitTuple);
+    if (error == asio::error::operation_aborted)
+      co_return;
+    if (error) {
+      Log(LogLevel::Warning, "pages", "accept failed", { { "error", error.message() } });
+      asio::steady_timer pause(context_, kAcceptPause);
+      co_await pause.async_wait(kAwaitTuple);
+      continue;
+    }
+    asio::co_spawn(context_, Serve(aSelf, std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+PageServer::Serve(std::shared_ptr<PageServer> aSelf, tcp::socket aSocket)
+{
+  SetLiveness(aSocket);
+  beast::tcp_stream stream(std::move(aSocket));
+  beast::flat_buffer buffer;
+  for (;;) {
+    http::request<http::empty_body> request;
+    stream.expires_after(kIdleTimeout);
+    auto [readError, readBytes] = co_await http::async_read(stream, buffer, request, kAwaitTuple);
+    if (readError)
+      co_return;
+    const auto target = request.target();
+    Page page = aSelf->handler_({ target.data(), target.size() });
+    page.keep_alive(request.keep_alive());
+    page.prepare_payload();
+    auto [writeError, writeBytes] = co_await http::async_write(stream, page, kAwaitTuple);
+    if (writeError || !page.keep_alive())
+      co_return;
+  }
+}
+
+} // namespace dfm
--- /dev/null
+++ b/lib/Steering/Dispatcher.cpp
@@ -0,0 +1,697 @@
+#include "dragonflymoor/Steering/Dispatcher.h"
+
+#include "dragonflymoor/Support/Hash.h"
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace dfm {
+
+namespace {
+
+/// Part of the goal for which a request waits for one of the instances that may hold its object,
+/// before it takes a free slot anywhere in the region. A cold object costs three times the work.
+constexpr double kWarmWaitShare = 0.1;
+
+/// Instances on which an object may be kept warm: as many as its instances' memory allows while the
+/// load can still be balanced.
+constexpr size_t kWarmChoices = 2;
+
+/// Bounds, as parts of the goal, of the time that a request waits for a slot before it is refused.
+/// Within an eighth of the goal a refusal costs the caller nothing.
+constexpr double kShortestHold = 0.125;
+constexpr double kLongestHold = 0.5;
+
+/// Part of the hold time after which the newest requests are served first: the oldest would be
+/// answered late, and the newer ones after them.
+constexpr double kNewestFirstShare = 0.5;
+
+/// Part of the platform's bound that all VMs together use for repeats and for cold instances; the
+/// rest covers VMs that start or stop while the shares change.
+constexpr double kRetryUse = 0.7;
+constexpr double kColdUse = 0.8;
+
+/// A retry needs at least this part of the service's usual latency, or its answer comes too late.
+constexpr double kLeastRetryTime = 0.5;
+
+/// Instances that one request tries, those that could not be reached included.
+constexpr size_t kMaxTried = 5;
+
+/// An instance from which nothing was heard for this many times the usual latency, and at least the
+/// minimum, is checked. Slow instances answer within this factor.
+constexpr double kSilenceFactor = 4;
+constexpr Duration kLeastSilence = 400ms;
+
+constexpr Duration kSpillPeriod = 100ms;
+constexpr Duration kSilencePeriod = 50ms;
+
+/// Refused callers come back spread over this span: later than the requests that wait now are done,
+/// and within the third of their time that they grant.
+constexpr Duration kRetryAfterLow = 150ms;
+constexpr Duration kRetryAfterHigh = 400ms;
+
+/// Weight of the latest answer in a service's mean latency; some dozens of answers decide.
+constexpr double kLatencyWeight = 0.03;
+
+/// A request that crashed this many instances is not sent to another one.
+constexpr CrashRegistryOptions kCrashOptions{ .crashesToBlock = 3, .blockTime = 60s };
+
+uint64_t
+Mix(uint64_t aKey, uint64_t aHash)
+{
+  // Finalizer of SplitMix64: a full avalanche at the cost of two multiplications.
+  uint64_t value = aKey ^ aHash;
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+  return value ^ (value >> 31);
+}
+
+uint32_t
+ShortHash(const BackendId& aId)
+{
+  return static_cast<uint32_t>(HashBytes(aId.Value()));
+}
+
+Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
+} // namespace
+
+std::string_view
+ToString(AttemptEndReport::Kind aKind)
+{
+  switch (aKind) {
+    case AttemptEndReport::Kind::Answered:
+      return "answered";
+    case AttemptEndReport::Kind::NotExecuted:
+      return "not-executed";
+    case AttemptEndReport::Kind::NotSent:
+      return "not-sent";
+    case AttemptEndReport::Kind::Broken:
+      return "broken";
+    case AttemptEndReport::Kind::TimedOut:
+      return "timed-out";
+    case AttemptEndReport::Kind::Abandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+std::string_view
+ToString(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::Overload:
+      return "overload";
+    case RefusalReason::NoInstance:
+      return "no-instance";
+    case RefusalReason::Quarantine:
+      return "quarantine";
+    case RefusalReason::TimedOut:
+      return "timed-out";
+  }
+  return "unknown";
+}
+
+Dispatcher::Dispatcher(DispatcherOptions aOptions, DispatcherHooks aHooks)
+  : options_(std::move(aOptions))
+  , hooks_(std::move(aHooks))
+  , random_(options_.randomSeed)
+  , view_(std::make_shared<FleetView>())
+  , crashes_(kCrashOptions, random_.Next())
+{
+}
+
+Dispatcher::ServiceState&
+Dispatcher::StateOf(const ServiceId& aService)
+{
+  const auto found = services_.find(aService);
+  if (found != services_.end())
+    return found->second;
+  return services_
+    .emplace(aService, ServiceState{ .spill = SpillControl(options_.region, options_.spill) })
+    .first->second;
+}
+
+InstanceTracker*
+Dispatcher::Find(const BackendId& aInstance)
+{
+  const auto found = instances_.find(aInstance);
+  return found == instances_.end() ? nullptr : found->second.get();
+}
+
+double
+Dispatcher::ColdRateFor(const Instance& aInstance) const
+{
+  if (view_->routes == nullptr)
+    return 0;
+  const auto& services = view_->routes->GetManifest().services;
+  const auto service = services.find(aInstance.service);
+  if (service == services.end())
+    return 0;
+  // VMs of the instance's region divide its rate; a VM elsewhere sends to it only when it has no
+  // other choice, and takes the part that it would have if all VMs did.
+  size_t sharers = 0;
+  for (const Vm& vm : view_->knownVms) {
+    if (options_.region != aInstance.region || vm.region == aInstance.region)
+      ++sharers;
+  }
+  return kColdUse * service->second.coldRequestsPerSecond /
+         static_cast<double>(std::max<size_t>(sharers, 1));
+}
+
+void
+Dispatcher::OnFleet(TimePoint aNow, std::shared_ptr<const FleetView> aView)
+{
+  view_ = std::move(aView);
+  if (!retries_) {
+    const auto vms = static_cast<double>(std::max<size_t>(view_->knownVms.size(), 1));
+    retries_.emplace(
+      RetryBudgetOptions{ .perRequest = kRetryUse * options_.retryRatio,
+                          .burst = std::max(1.0, kRetryUse * options_.retrySlack / vms) });
+  }
+
+  std::map<BackendId, std::unique_ptr<InstanceTracker>> previous = std::move(instances_);
+  instances_.clear();
+  byHash_.clear();
+  for (auto& [service, state] : services_)
+    state.candidates.clear();
+  for (const Instance& spec : view_->instances) {
+    const auto known = previous.find(spec.id);
+    std::unique_ptr<InstanceTracker> state;
+    if (known != previous.end()) {
+      state = std::move(known->second);
+      state->SetSpec(spec);
+    } else {
+      state = std::make_unique<InstanceTracker>(spec);
+    }
+    state->SetEvacuated(view_->evacuated.contains(spec.failureDomain));
+    state->SetColdRate(ColdRateFor(spec));
+    byHash_[ShortHash(spec.id)] = state.get();
+    StateOf(spec.service)
+      .candidates.push_back({ .state = state.get(), .hash = HashBytes(spec.id.Value()) });
+    instances_[spec.id] = std::move(state);
+  }
+  for (auto& [service, state] : services_)
+    Pump(aNow, service);
+}
+
+void
+Dispatcher::Submit(TimePoint aNow, Ticket aTicket, RequestSpec aSpec)
+{
+  assert(aSpec.route != nullptr && "a request has a route");
+  Request request{ .spec = std::move(aSpec) };
+  request.service = splits_.Choose(*request.spec.route);
+  const bool sticky = request.spec.route->sticky && request.spec.affinity;
+  request.key = sticky ? *request.spec.affinity : random_.Next();
+  if (retries_)
+    retries_->OnRequest(request.service);
+  Request& stored = requests_.insert_or_assign(aTicket, std::move(request)).first->second;
+  if (crashes_.IsBlocked(aNow, {}, stored.spec.fingerprint)) {
+    Refuse(aNow, aTicket, RefusalReason::Quarantine);
+    return;
+  }
+  ServiceState& state = StateOf(stored.service);
+  // Requests that wait already go first, unless they wait for other instances.
+  if (!TryStart(aNow, aTicket, stored))
+    Enqueue(state, aTicket, stored);
+}
+
+void
+Dispatcher::Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest)
+{
+  auto position = aState.queue.end();
+  while (position != aState.queue.begin() &&
+         requests_.at(*std::prev(position)).spec.arrived > aRequest.spec.arrived)
+    --position;
+  aState.queue.insert(position, aTicket);
+}
+
+bool
+Dispatcher::HasUsable(TimePoint aNow, const ServiceState& aState, const RegionId& aRegion) const
+{
+  return std::any_of(
+    aState.candidates.begin(), aState.candidates.end(), [&](const auto& aCandidate) {
+      const Unusable why = aCandidate.state->WhyUnusable(aNow);
+      return aCandidate.state->Spec().region == aRegion &&
+             (why == Unusable::No || why == Unusable::Cold);
+    });
+}
+
+InstanceTracker*
+Dispatcher::ChooseIn(TimePoint aNow,
+                     const Request& aRequest,
+                     const ServiceState& aState,
+                     const RegionId& aRegion) const
+{
+  struct Ranked
+  {
+    InstanceTracker* state = nullptr;
+    uint64_t weight = 0;
+    bool degraded = false;
+  };
+  std::vector<Ranked> ranked;
+  ranked.reserve(aState.candidates.size());
+  for (const auto& candidate : aState.candidates) {
+    InstanceTracker* const state = candidate.state;
+    if (state->Spec().region != aRegion || state->WhyUnusable(aNow) != Unusable::No)
+      continue;
+    if (std::find(aRequest.tried.begin(), aRequest.tried.end(), state->Spec().id) !=
+        aRequest.tried.end())
+      continue;
+    ranked.push_back({ .state = state,
+                       .weight = Mix(aRequest.key, candidate.hash),
+                       .degraded = state->IsDegraded(aNow, aState.typicalLatency) });
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
+    if (aLeft.degraded != aRight.degraded)
+      return aRight.degraded;
+    return aLeft.weight > aRight.weight;
+  });
+  const bool warmOnly =
+    aNow - aRequest.spec.arrived < Scale(aRequest.spec.route->goal, kWarmWaitShare);
+  if (warmOnly && ranked.size() > kWarmChoices)
+    ranked.resize(kWarmChoices);
+  for (const Ranked& candidate : ranked) {
+    if (candidate.state->FreeSlots(aNow) > 0)
+      return candidate.state;
+  }
+  return nullptr;
+}
+
+InstanceTracker*
+Dispatcher::Choose(TimePoint aNow, const Request& aRequest, const ServiceState& aState) const
+{
+  const Route& route = *aRequest.spec.route;
+  const bool ownAllowed = MayServeIn(route, options_.region);
+  const auto spillTo = aState.spill.RegionFor(aRequest.key);
+  if (ownAllowed && spillTo && MayServeIn(route, *spillTo)) {
+    if (InstanceTracker* const remote = ChooseIn(aNow, aRequest, aState, *spillTo))
+      return remote;
+  }
+  if (ownAllowed && HasUsable(aNow, aState, options_.region))
+    return ChooseIn(aNow, aRequest, aState, options_.region);
+
+  // The own region cannot serve the request at all. The region is chosen by key, so that objects
+  // stay warm.
+  std::set<RegionId> others;
+  for (const auto& candidate : aState.candidates) {
+    const RegionId& region = candidate.state->Spec().region;
+    if (region != options_.region && MayServeIn(route, region) && HasUsable(aNow, aState, region))
+      others.insert(region);
+  }
+  if (others.empty())
+    return nullptr;
+  const auto start = static_cast<ptrdiff_t>(Mix(aRequest.key, 0) % others.size());
+  auto region = std::next(others.begin(), start);
+  for (size_t i = 0; i < others.size(); ++i) {
+    if (InstanceTracker* const remote = ChooseIn(aNow, aRequest, aState, *region))
+      return remote;
+    if (++region == others.end())
+      region = others.begin();
+  }
+  return nullptr;
+}
+
+bool
+Dispatcher::TryStart(TimePoint aNow, Ticket aTicket, Request& aRequest)
+{
+  const ServiceState& state = StateOf(aRequest.service);
+  InstanceTracker* const instance = Choose(aNow, aRequest, state);
+  if (instance == nullptr)
+    return false;
+  const Instance& spec = instance->Spec();
+  const InstanceAttempt attempt{
+    .ticket = aTicket,
+    .instance = spec.id,
+    .service = aRequest.service,
+    .endpoint = spec.endpoint,
+    .deadline = aRequest.spec.deadline,
+    .idempotent = aRequest.spec.route->idempotent,
+    .number = aRequest.attempts + 1,
+    .ownInFlight = instance->OwnInFlight(),
+    .busy = instance->Busy(aNow),
+    .slots = spec.slots,
+    .spilled = spec.region != options_.region,
+    .waited = aNow - aRequest.spec.arrived,
+  };
+  instance->OnSend(aNow);
+  ++aRequest.attempts;
+  aRequest.tried.push_back(spec.id);
+  aRequest.at = spec.id;
+  hooks_.start(attempt);
+  return true;
+}
+
+void
+Dispatcher::Refuse(TimePoint aNow, Ticket aTicket, RefusalReason aReason)
+{
+  const auto found = requests_.find(aTicket);
+  assert(found != requests_.end() && "only a known request is refused");
+  const RequestRefusal refusal{ .reason = aReason,
+                                .retryAfter = RetryAfter(),
+                                .waited = aNow - found->second.spec.arrived };
+  requests_.erase(found);
+  hooks_.refuse(aTicket, refusal);
+}
+
+Duration
+Dispatcher::RetryAfter()
+{
+  return random_.Between(kRetryAfterLow, kRetryAfterHigh);
+}
+
+std::vector<Ticket>
+Dispatcher::WaitingOrder(TimePoint aNow, const ServiceState& aState) const
+{
+  std::vector<Ticket> order(aState.queue.begin(), aState.queue.end());
+  const Request& oldest = requests_.at(order.front());
+  const Duration turning = Scale(HoldTime(oldest, aState), kNewestFirstShare);
+  if (aNow - oldest.spec.arrived > turning)
+    std::reverse(order.begin(), order.end());
+  std::stable_sort(order.begin(), order.end(), [this](Ticket aLeft, Ticket aRight) {
+    return requests_.at(aLeft).spec.route->priority < requests_.at(aRight).spec.route->priority;
+  });
+  return order;
+}
+
+void
+Dispatcher::Pump(TimePoint aNow, const ServiceId& aService)
+{
+  ServiceState& state = StateOf(aService);
+  if (state.queue.empty())
+    return;
+  for (const Ticket ticket : WaitingOrder(aNow, state)) {
+    const bool anyFree =
+      std::any_of(state.candidates.begin(), state.candidates.end(), [&](const auto& aCandidate) {
+        return aCandidate.state->FreeSlots(aNow) > 0 &&
+               aCandidate.state->WhyUnusable(aNow) == Unusable::No;
+      });
+    if (!anyFree)
+      return;
+    if (TryStart(aNow, ticket, requests_.at(ticket)))
+      state.queue.remove(ticket);
+  }
+}
+
+void
+Dispatcher::Cancel(TimePoint aNow, Ticket aTicket)
+{
+  const auto found = requests_.find(aTicket);
+  if (found == requests_.end())
+    return;
+  const ServiceId service = found->second.service;
+  if (found->second.at) {
+    if (InstanceTracker* const instance = Find(*found->second.at))
+      instance->OnEnd();
+  } else {
+    StateOf(service).queue.remove(aTicket);
+  }
+  requests_.erase(found);
+  Pump(aNow, service);
+}
+
+void
+Dispatcher::CountCrashes(TimePoint aNow, InstanceTracker& aInstance)
+{
+  for (const uint64_t fingerprint : aInstance.TakeCrashSuspects(aNow))
+    hooks_.crashed(crashes_.OnCrash(aNow, {}, fingerprint));
+}
+
+void
+Dispatcher::Learn(TimePoint aNow, Request& aRequest, const AttemptEndReport& aReport)
+{
+  using Kind = AttemptEndReport::Kind;
+  ServiceState& state = StateOf(aRequest.service);
+  InstanceTracker* const instance = Find(*aRequest.at);
+  aRequest.at.reset();
+  if (instance == nullptr)
+    return; // The instance left meanwhile.
+  instance->OnEnd();
+  switch (aReport.kind) {
+    case Kind::Answered:
+      if (aReport.status >= 500) {
+        instance->OnFailure(aNow, false);
+        return;
+      }
+      instance->OnSuccess(aNow, aReport.latency);
+      state.typicalLatency += Scale(aReport.latency - state.typicalLatency,
+                                    state.typicalLatency.count() == 0 ? 1 : kLatencyWeight);
+      return;
+    case Kind::NotExecuted:
+      if (aReport.wrongInstance)
+        instance->OnUnreachable(aNow);
+      else
+        instance->OnFailure(aNow, true);
+      return;
+    case Kind::NotSent:
+      instance->OnUnreachable(aNow);
+      CountCrashes(aNow, *instance);
+      return;
+    case Kind::Broken:
+      instance->OnFailure(aNow, false);
+      if (aReport.reset)
+        instance->AddCrashSuspect(aNow, aRequest.spec.fingerprint);
+      return;
+    case Kind::TimedOut:
+    case Kind::Abandoned:
+      return; // The check of silent instances decides about it.
+  }
+}
+
+bool
+Dispatcher::MayRetry(TimePoint aNow, const Request& aRequest, const AttemptEndReport& aReport)
+{
+  using Kind = AttemptEndReport::Kind;
+  const Route& route = *aRequest.spec.route;
+  const Duration least = Scale(StateOf(aRequest.service).typicalLatency, kLeastRetryTime);
+  if (aNow + least > aRequest.spec.deadline || aRequest.tried.size() >= kMaxTried)
+    return false;
+  if (crashes_.IsBlocked(aNow, {}, aRequest.spec.fingerprint))
+    return false;
+  if (aReport.kind == Kind::NotSent)
+    return true; // No instance got anything: the first one is still to come.
+  if (!route.idempotent && aReport.kind != Kind::NotExecuted)
+    return false;
+  return aRequest.attempts < route.maxAttempts && retries_ && retries_->TryTake(aRequest.service);
+}
+
+Verdict
+Dispatcher::OnAttemptEnd(TimePoint aNow, Ticket aTicket, const AttemptEndReport& aReport)
+{
+  using Kind = AttemptEndReport::Kind;
+  const auto found = requests_.find(aTicket);
+  assert(found != requests_.end() && found->second.at && "the attempt is in flight");
+  Request& request = found->second;
+  const ServiceId service = request.service;
+  const bool failedAnswer = aReport.kind == Kind::Answered && aReport.status >= 500;
+  Learn(aNow, request, aReport);
+  if (aReport.kind == Kind::NotSent)
+    --request.attempts;
+  else if (aReport.kind != Kind::NotExecuted)
+    request.mayHaveRun = true;
+
+  Verdict verdict = Verdict::Deliver;
+  if (aReport.kind != Kind::Answered || failedAnswer) {
+    if (MayRetry(aNow, request, aReport))
+      verdict = Verdict::Retry;
+    else if (!failedAnswer)
+      verdict = request.mayHaveRun ? Verdict::Fail : Verdict::Refuse;
+  }
+  if (verdict == Verdict::Retry) {
+    if (!TryStart(aNow, aTicket, request))
+      Enqueue(StateOf(service), aTicket, request);
+  } else {
+    requests_.erase(found);
+  }
+  Pump(aNow, service);
+  return verdict;
+}
+
+void
+Dispatcher::Abandon(const BackendId& aInstance)
+{
+  std::vector<Ticket> abandoned;
+  for (const auto& [ticket, request] : requests_) {
+    if (request.at == aInstance && request.spec.route->idempotent)
+      abandoned.push_back(ticket);
+  }
+  for (const Ticket ticket : abandoned)
+    hooks_.abandon(ticket);
+}
+
+void
+Dispatcher::OnProbe(TimePoint aNow,
+                    const BackendId& aInstance,
+                    ProbeResult aResult,
+                    Duration aColdLeft)
+{
+  InstanceTracker* const instance = Find(aInstance);
+  if (instance == nullptr)
+    return;
+  instance->OnProbe(aNow, aResult, aColdLeft);
+  if (aResult == ProbeResult::Unreachable) {
+    CountCrashes(aNow, *instance);
+    Abandon(aInstance);
+    return;
+  }
+  Pump(aNow, instance->Spec().service);
+}
+
+void
+Dispatcher::OnPeerLoad(TimePoint aNow, const VmId& aVm, const std::vector<InstanceLoad>& aLoads)
+{
+  std::unordered_map<uint32_t, unsigned> loads;
+  for (const InstanceLoad& load : aLoads)
+    loads[load.instance] = load.inFlight;
+  for (const auto& [hash, instance] : byHash_) {
+    const auto load = loads.find(hash);
+    instance->OnPeerLoad(aNow, aVm, load == loads.end() ? 0 : load->second);
+  }
+  for (const auto& [service, state] : services_)
+    Pump(aNow, service);
+}
+
+void
+Dispatcher::OnCrashReport(TimePoint aNow, const CrashReport& aReport)
+{
+  crashes_.OnReport(aNow, aReport);
+}
+
+Duration
+Dispatcher::HoldTime(const Request& aRequest, const ServiceState& aState) const
+{
+  const Duration goal = aRequest.spec.route->goal;
+  return std::clamp(
+    goal - aState.typicalLatency, Scale(goal, kShortestHold), Scale(goal, kLongestHold));
+}
+
+void
+Dispatcher::CheckWaiting(TimePoint aNow)
+{
+  for (auto& [service, state] : services_) {
+    std::vector<Ticket> expired;
+    for (const Ticket ticket : state.queue) {
+      const Request& request = requests_.at(ticket);
+      if (aNow - request.spec.arrived >= HoldTime(request, state) || aNow >= request.spec.deadline)
+        expired.push_back(ticket);
+    }
+    for (const Ticket ticket : expired) {
+      state.queue.remove(ticket);
+      const bool usable =
+        std::any_of(state.candidates.begin(), state.candidates.end(), [&](const auto& aCandidate) {
+          return aCandidate.state->WhyUnusable(aNow) == Unusable::No;
+        });
+      const bool timedOut = aNow >= requests_.at(ticket).spec.deadline;
+      Refuse(aNow,
+             ticket,
+             timedOut ? RefusalReason::TimedOut
+                      : (usable ? RefusalReason::Overload : RefusalReason::NoInstance));
+    }
+  }
+}
+
+void
+Dispatcher::CheckSilence(TimePoint aNow)
+{
+  for (const auto& [id, instance] : instances_) {
+    const Duration usual =
+      std::max(StateOf(instance->Spec().service).typicalLatency, instance->MeanLatency());
+    const Duration longest = std::max(kLeastSilence, Scale(usual, kSilenceFactor));
+    if (instance->OwnInFlight() > 0 && aNow - instance->LastHeard() > longest)
+      instance->OnUnreachable(aNow);
+  }
+}
+
+void
+Dispatcher::CheckProbes(TimePoint aNow)
+{
+  if (view_->routes == nullptr)
+    return;
+  const auto& specs = view_->routes->GetManifest().services;
+  for (const auto& [id, instance] : instances_) {
+    const auto due = instance->ProbeDueAt();
+    const auto spec = specs.find(instance->Spec().service);
+    if (!due || *due > aNow || spec == specs.end() || instance->Spec().draining)
+      continue;
+    instance->OnProbeSent(aNow);
+    hooks_.probe(instance->Spec(), spec->second);
+  }
+}
+
+void
+Dispatcher::UpdateSpill(TimePoint aNow)
+{
+  double ownVms = 0;
+  for (const Vm& vm : view_->usableVms)
+    ownVms += vm.region == options_.region ? 1 : 0;
+  for (auto& [service, state] : services_) {
+    std::map<RegionId, RegionUse> uses;
+    for (const auto& candidate : state.candidates) {
+      RegionUse& use = uses[candidate.state->Spec().region];
+      use.region = candidate.state->Spec().region;
+      if (candidate.state->WhyUnusable(aNow) != Unusable::No)
+        continue;
+      use.slots += candidate.state->Spec().slots;
+      use.busy += candidate.state->Busy(aNow);
+    }
+    // Other VMs' waiting requests are not known; this VM's stand for them.
+    uses[options_.region].region = options_.region;
+    uses[options_.region].busy += static_cast<double>(state.queue.size()) * std::max(ownVms, 1.0);
+    std::vector<RegionUse> list;
+    for (const auto& [region, use] : uses)
+      list.push_back(use);
+    state.spill.Update(aNow, list);
+  }
+}
+
+void
+Dispatcher::OnTick(TimePoint aNow)
+{
+  for (const auto& [id, instance] : instances_)
+    instance->OnTick(aNow);
+  if (aNow >= nextSilenceCheck_) {
+    nextSilenceCheck_ = aNow + kSilencePeriod;
+    CheckSilence(aNow);
+    CheckProbes(aNow);
+  }
+  if (aNow >= nextSpillUpdate_) {
+    nextSpillUpdate_ = aNow + kSpillPeriod;
+    UpdateSpill(aNow);
+  }
+  for (const auto& [service, state] : services_)
+    Pump(aNow, service);
+  CheckWaiting(aNow);
+}
+
+std::vector<InstanceLoad>
+Dispatcher::OwnLoad() const
+{
+  std::vector<InstanceLoad> loads;
+  for (const auto& [hash, instance] : byHash_) {
+    if (instance->OwnInFlight() > 0)
+      loads.push_back(
+        { .instance = hash, .inFlight = static_cast<uint16_t>(instance->OwnInFlight()) });
+  }
+  return loads;
+}
+
+size_t
+Dispatcher::Waiting() const
+{
+  size_t waiting = 0;
+  for (const auto& [service, state] : services_)
+    waiting += state.queue.size();
+  return waiting;
+}
+
+size_t
+Dispatcher::InFlight() const
+{
+  return requests_.size() - Waiting();
+}
+
+} // namespace dfm
--- /dev/null
+++ b/lib/Steering/InstanceTracker.cpp
@@ -0,0 +1,251 @@
+#include "dragonflymoor/Steering/InstanceTracker.h"
+
+#include <algorithm>
+
+namespace dfm {
+
+namespace {
+
+/// A peer's report that was not renewed for this long no longer counts: the peer is gone or cut
+/// off, and its requests have ended or will soon. Peers report several times in this span.
+constexpr Duration kPeerLoadLife = 1s;
+
+/// Weight of the latest answer in the moving means of failures and latency; about ten answers
+/// decide.
+constexpr double kMeanWeight = 0.1;
+
+/// Answers before the means say anything about an instance.
+constexpr unsigned kMinAnswers = 8;
+
+/// Share of failed answers above which other instances are preferred. Applications fail one request
+/// in a thousand; grey instances fail several in ten.
+constexpr double kDegradedFailureShare = 0.2;
+
+/// An instance whose mean latency is this many times the service's is preferred last. An instance
+/// that serves only cold objects stays below it, as a warm object saves at most 70 % of the work.
+constexpr double kDegradedLatencyFactor = 3.5;
+
+/// A degraded instance gets one request of each VM in this time while others have free slots.
+constexpr Duration kTrialPeriod = 300ms;
+
+/// A connect that fails within this time after a broken connection shows that the instance crashed.
+constexpr Duration kCrashConfirmTime = 1s;
+
+/// More requests than an instance has slots are never in flight at a crash for long.
+constexpr size_t kMaxCrashSuspects = 32;
+
+/// How long an instance counts as full after it shed a request; about the time in which one of its
+/// slots becomes free.
+constexpr Duration kShedPause = 40ms;
+
+/// Wait before the first health check of an instance that is down, and the longest wait; each
+/// failed check doubles it. Checks are priced, so they slow down.
+constexpr Duration kFirstProbeWait = 100ms;
+constexpr Duration kLongestProbeWait = 800ms;
+
+/// The bucket of the cold rate holds what a tenth of a second earns, so that the VMs' bursts
+/// together stay well within the excess that the platform tolerates.
+constexpr BucketOptions kColdBucket{ .rate = 1, .burst = 0.1, .leastBurst = 1 };
+
+} // namespace
+
+std::string_view
+ToString(Unusable aReason)
+{
+  switch (aReason) {
+    case Unusable::No:
+      return "usable";
+    case Unusable::Draining:
+      return "draining";
+    case Unusable::Evacuated:
+      return "evacuated";
+    case Unusable::Down:
+      return "down";
+    case Unusable::Cold:
+      return "cold";
+    case Unusable::Full:
+      return "full";
+  }
+  return "unknown";
+}
+
+InstanceTracker::InstanceTracker(Instance aInstance)
+  : spec_(std::move(aInstance))
+  , cold_(kColdBucket)
+{
+}
+
+void
+InstanceTracker::SetSpec(Instance aInstance)
+{
+  if (aInstance.bornMs != spec_.bornMs || aInstance.endpoint != spec_.endpoint) {
+    // Requests of the earlier run end through their own connections.
+    const unsigned inFlight = inFlight_;
+    const bool evacuated = evacuated_;
+    const double coldRate = coldRate_;
+    *this = InstanceTracker(std::move(aInstance));
+    inFlight_ = inFlight;
+    evacuated_ = evacuated;
+    coldRate_ = coldRate;
+    return;
+  }
+  // A health check may know of a later end than the registration.
+  aInstance.coldUntil = std::max(aInstance.coldUntil, spec_.coldUntil);
+  spec_ = std::move(aInstance);
+}
+
+void
+InstanceTracker::OnTick(TimePoint aNow)
+{
+  if (coldFilledAt_)
+    cold_.Fill(coldRate_, aNow - *coldFilledAt_);
+  coldFilledAt_ = aNow;
+}
+
+Unusable
+InstanceTracker::WhyUnusable(TimePoint aNow) const
+{
+  if (spec_.draining)
+    return Unusable::Draining;
+  if (evacuated_)
+    return Unusable::Evacuated;
+  if (down_)
+    return Unusable::Down;
+  if (IsCold(aNow) && cold_.Tokens() < 1)
+    return Unusable::Cold;
+  return Unusable::No;
+}
+
+unsigned
+InstanceTracker::Busy(TimePoint aNow) const
+{
+  unsigned busy = inFlight_;
+  for (const auto& [vm, load] : peers_) {
+    if (aNow - load.at < kPeerLoadLife)
+      busy += load.inFlight;
+  }
+  return busy;
+}
+
+int
+InstanceTracker::FreeSlots(TimePoint aNow) const
+{
+  if (aNow < shedUntil_)
+    return 0;
+  return static_cast<int>(spec_.slots) - static_cast<int>(Busy(aNow));
+}
+
+bool
+InstanceTracker::IsDegraded(TimePoint aNow, Duration aTypical) const
+{
+  if (answers_ < kMinAnswers || aNow >= nextTrial_)
+    return false;
+  return failureShare_ > kDegradedFailureShare ||
+         ToSeconds(meanLatency_) > kDegradedLatencyFactor * ToSeconds(aTypical);
+}
+
+void
+InstanceTracker::OnSend(TimePoint aNow)
+{
+  if (IsCold(aNow) && cold_.Tokens() >= 1)
+    cold_.Take(1);
+  if (inFlight_ == 0)
+    lastHeard_ = aNow;
+  ++inFlight_;
+  nextTrial_ = aNow + kTrialPeriod;
+}
+
+void
+InstanceTracker::OnEnd()
+{
+  if (inFlight_ > 0)
+    --inFlight_;
+}
+
+void
+InstanceTracker::OnSuccess(TimePoint aNow, Duration aLatency)
+{
+  lastHeard_ = aNow;
+  failureShare_ *= 1 - kMeanWeight;
+  const double weight = answers_ == 0 ? 1 : kMeanWeight;
+  meanLatency_ +=
+    Duration(static_cast<int64_t>(weight * static_cast<double>((aLatency - meanLatency_).count())));
+  answers_ = std::min(answers_ + 1, kMinAnswers);
+}
+
+void
+InstanceTracker::OnFailure(TimePoint aNow, bool aShed)
+{
+  lastHeard_ = aNow;
+  failureShare_ += kMeanWeight * (1 - failureShare_);
+  answers_ = std::min(answers_ + 1, kMinAnswers);
+  if (aShed)
+    shedUntil_ = aNow + kShedPause;
+}
+
+void
+InstanceTracker::OnUnreachable(TimePoint aNow)
+{
+  if (down_)
+    return;
+  down_ = true;
+  failedProbes_ = 0;
+  probeAt_ = aNow + kFirstProbeWait;
+}
+
+void
+InstanceTracker::OnProbe(TimePoint aNow, ProbeResult aResult, Duration aColdLeft)
+{
+  lastHeard_ = aNow;
+  spec_.coldUntil = std::max(spec_.coldUntil, aNow + aColdLeft);
+  if (aResult == ProbeResult::Healthy || aResult == ProbeResult::Unanswered) {
+    down_ = false;
+    return;
+  }
+  const unsigned doublings = std::min(++failedProbes_, 8U);
+  probeAt_ = aNow + std::min(kFirstProbeWait * (1 << doublings), kLongestProbeWait);
+}
+
+std::vector<uint64_t>
+InstanceTracker::TakeCrashSuspects(TimePoint aNow)
+{
+  std::vector<uint64_t> fingerprints;
+  for (const CrashSuspect& suspect : crashSuspects_) {
+    if (aNow - suspect.at < kCrashConfirmTime)
+      fingerprints.push_back(suspect.fingerprint);
+  }
+  crashSuspects_.clear();
+  return fingerprints;
+}
+
+void
+InstanceTracker::AddCrashSuspect(TimePoint aNow, uint64_t aFingerprint)
+{
+  if (crashSuspects_.size() == kMaxCrashSuspects)
+    crashSuspects_.erase(crashSuspects_.begin());
+  crashSuspects_.push_back({ .at = aNow, .fingerprint = aFingerprint });
+}
+
+std::optional<TimePoint>
+InstanceTracker::ProbeDueAt() const
+{
+  return down_ ? std::optional(probeAt_) : std::nullopt;
+}
+
+void
+InstanceTracker::OnProbeSent(TimePoint aNow)
+{
+  // A lost answer must not end the checks.
+  probeAt_ = aNow + 2 * kLongestProbeWait;
+}
+
+void
+InstanceTracker::OnPeerLoad(TimePoint aNow, const VmId& aVm, unsigned aInFlight)
+{
+  if (aInFlight == 0)
+    peers_.erase(aVm);
+  else
+    peers_[aVm] = { .inFlight = aInFlight, .at = aNow };
+}
+
+} // namespace dfm
--- /dev/null
+++ b/lib/Steering/Manifest.cpp
@@ -0,0 +1,73 @@
+#include "dragonflymoor/Steering/Manifest.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace dfm {
+
+namespace {
+
+std::string
+NormalizeHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return host;
+}
+
+} // namespace
+
+RouteIndex::RouteIndex(std::shared_ptr<const Manifest> aManifest)
+  : manifest_(std::move(aManifest))
+{
+  for (const Route& route : manifest_->routes)
+    byHost_[NormalizeHost(route.host)].push_back(&route);
+  for (auto& [host, routes] : byHost_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const Route* aLeft, const Route* aRight) {
+      return aLeft->pathPrefix.size() > aRight->pathPrefix.size();
+    });
+  }
+}
+
+const std::vector<const Route*>*
+RouteIndex::RoutesOf(std::string_view aHost) const
+{
+  const auto found = byHost_.find(NormalizeHost(aHost));
+  return found == byHost_.end() ? nullptr : &found->second;
+}
+
+const Route*
+RouteIndex::Find(std::string_view aHost, std::string_view aPath) const
+{
+  const auto* routes = RoutesOf(aHost);
+  if (routes == nullptr)
+    return nullptr;
+  for (const Route* route : *routes) {
+    if (aPath.starts_with(route->pathPrefix))
+      return route;
+  }
+  return nullptr;
+}
+
+bool
+RouteIndex::HostMayUse(std::string_view aHost, const RegionId& aRegion) const
+{
+  const auto* routes = RoutesOf(aHost);
+  if (routes == nullptr)
+    return false;
+  return std::all_of(routes->begin(), routes->end(), [&aRegion](const Route* aRoute) {
+    return MayServeIn(*aRoute, aRegion);
+  });
+}
+
+bool
+MayServeIn(const Route& aRoute, const RegionId& aRegion)
+{
+  return aRoute.homeRegions.empty() ||
+         std::find(aRoute.homeRegions.begin(), aRoute.homeRegions.end(), aRegion) !=
+           aRoute.homeRegions.end();
+}
+
+} // namespace dfm
--- /dev/null
+++ b/lib/Steering/PeerMessages.cpp
@@ -0,0 +1,148 @@
+#include "dragonflymoor/Steering/PeerMessages.h"
+
+#include "steering_generated.h"
+#include <fmt/format.h>
+
+namespace dfm {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+struct Body
+{
+  wire::SteeringBody type = wire::SteeringBody::NONE;
+  Offset<void> table;
+};
+
+Body
+Encode(FlatBufferBuilder& aBuilder, const PeerLoad& aLoad)
+{
+  std::vector<wire::InstanceLoadEntry> entries;
+  entries.reserve(aLoad.loads.size());
+  for (const InstanceLoad& load : aLoad.loads)
+    entries.emplace_back(load.instance, load.inFlight);
+  const auto loads = aBuilder.CreateVectorOfStructs(entries);
+  return { wire::SteeringBody::LoadReport, wire::CreateLoadReport(aBuilder, loads).Union() };
+}
+
+Body
+Encode(FlatBufferBuilder& aBuilder, const PeerCrash& aCrash)
+{
+  return { wire::SteeringBody::CrashNotice,
+           wire::CreateCrashNotice(aBuilder, aCrash.reportId, aCrash.fingerprint).Union() };
+}
+
+Body
+Encode(FlatBufferBuilder& aBuilder, const StateRequest& aRequest)
+{
+  const auto revisions =
+    aBuilder.CreateVector(aRequest.revisions.data(), aRequest.revisions.size());
+  return { wire::SteeringBody::StateRequest,
+           wire::CreateStateRequest(aBuilder, revisions).Union() };
+}
+
+Body
+Encode(FlatBufferBuilder& aBuilder, const StateReply& aReply)
+{
+  std::vector<Offset<wire::StateSet>> sets;
+  for (const auto& [kind, set] : aReply.kinds) {
+    std::vector<Offset<wire::ObjectEntry>> entries;
+    for (const auto& [name, content] : set.objects)
+      entries.push_back(wire::CreateObjectEntryDirect(aBuilder, name.c_str(), content.c_str()));
+    sets.push_back(
+      wire::CreateStateSetDirect(aBuilder, static_cast<uint8_t>(kind), set.revision, &entries));
+  }
+  return { wire::SteeringBody::StateReply, wire::CreateStateReplyDirect(aBuilder, &sets).Union() };
+}
+
+PeerMessage
+Decode(const wire::LoadReport& aReport)
+{
+  PeerLoad load;
+  if (aReport.loads() != nullptr) {
+    for (const wire::InstanceLoadEntry* entry : *aReport.loads())
+      load.loads.push_back({ .instance = entry->instance(), .inFlight = entry->in_flight() });
+  }
+  return load;
+}
+
+Decoded<PeerMessage>
+Decode(const wire::StateRequest& aRequest)
+{
+  StateRequest request;
+  if (aRequest.revisions() == nullptr || aRequest.revisions()->size() != request.revisions.size())
+    return tl::unexpected(CodecError{ "state request: wrong number of revisions" });
+  for (size_t i = 0; i < request.revisions.size(); ++i)
+    request.revisions[i] = aRequest.revisions()->Get(static_cast<flatbuffers::uoffset_t>(i));
+  return request;
+}
+
+Decoded<PeerMessage>
+Decode(const wire::StateReply& aReply)
+{
+  StateReply reply;
+  if (aReply.sets() == nullptr)
+    return reply;
+  for (const wire::StateSet* set : *aReply.sets()) {
+    if (set->kind() >= kObjectKindCount)
+      return tl::unexpected(
+        CodecError{ fmt::format("state reply: kind {} does not exist", set->kind()) });
+    StateReply::Kind kind{ .kind = static_cast<ObjectKind>(set->kind()) };
+    kind.set.revision = set->revision();
+    if (set->objects() != nullptr) {
+      for (const wire::ObjectEntry* entry : *set->objects())
+        kind.set.objects[entry->name()->str()] = entry->content()->str();
+    }
+    reply.kinds.push_back(std::move(kind));
+  }
+  return reply;
+}
+
+Decoded<PeerMessage>
+DecodeBody(const wire::SteeringMessage& aMessage)
+{
+  switch (aMessage.body_type()) {
+    case wire::SteeringBody::LoadReport:
+      return Decode(*aMessage.body_as_LoadReport());
+    case wire::SteeringBody::CrashNotice:
+      return PeerCrash{ .reportId = aMessage.body_as_CrashNotice()->report_id(),
+                        .fingerprint = aMessage.body_as_CrashNotice()->fingerprint() };
+    case wire::SteeringBody::StateRequest:
+      return Decode(*aMessage.body_as_StateRequest());
+    case wire::SteeringBody::StateReply:
+      return Decode(*aMessage.body_as_StateReply());
+    default:
+      return tl::unexpected(CodecError{ "message: unknown type" });
+  }
+}
+
+} // namespace
+
+std::string
+EncodePeer(const VmId& aSender, const PeerMessage& aMessage)
+{
+  FlatBufferBuilder builder;
+  const auto sender = builder.CreateString(aSender.Value());
+  const Body body =
+    std::visit([&builder](const auto& aBody) { return Encode(builder, aBody); }, aMessage);
+  builder.Finish(wire::CreateSteeringMessage(builder, sender, body.type, body.table));
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+Decoded<PeerEnvelope>
+DecodePeer(std::string_view aBytes)
+{
+  const auto* bytes = reinterpret_cast<const uint8_t*>(aBytes.data());
+  flatbuffers::Verifier verifier(bytes, aBytes.size());
+  if (!wire::VerifySteeringMessageBuffer(verifier))
+    return tl::unexpected(CodecError{ "message: malformed" });
+  const wire::SteeringMessage* message = wire::GetSteeringMessage(bytes);
+  auto body = DecodeBody(*message);
+  if (!body)
+    return tl::unexpected(body.error());
+  return PeerEnvelope{ .sender = VmId(message->sender()->str()), .message = std::move(*body) };
+}
+
+} // namespace dfm
--- a/tools/dragonflymoord/main.cpp
+++ b/tools/dragonflymoord/main.cpp
@@ -1,11 +1,15 @@
+#include "dragonflymoor/Gateway/Gateway.h"
 #include "dragonflymoor/Net/Daemon.h"
 #include "dragonflymoor/Settings/Settings.h"
+#include "dragonflymoor/Settings/SteeringSettings.h"
 #include "dragonflymoor/Support/Log.h"
+#include "platform/Adapter.h"
 #include <cstdlib>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
 DEFINE_string(config, "", "settings file, JSON with comments");
+DEFINE_bool(platform, false, "serve on the users' platform; the settings file is the one it names");
 DEFINE_bool(check, false, "print all findings of the settings file and end, non-zero if any");
 
 namespace {
@@ -17,6 +21,32 @@
   return EXIT_FAILURE;
 }
 
+/// Environment variable in which the platform names the settings file.
+constexpr const char* kSettingsVariable = "DRAGONFLYMOOR_CONFIG";
+
+int
+ServeOnPlatform(std::string aFile)
+{
+  if (const char* named = std::getenv(kSettingsVariable); aFile.empty() && named != nullptr)
+    aFile = named;
+  if (aFile.empty())
+    return Fail({ { kSettingsVariable, "is not set, and --config is missing" } });
+  const auto settings = dfm::ReadSteeringSettings(aFile);
+  if (!settings)
+    return Fail(settings.error());
+  if (FLAGS_check)
+    return EXIT_SUCCESS;
+  dfm::BufferLog();
+  auto gateway = dfm::Gateway::Create(
+    { .settings = *settings, .platform = dfm::platform::MakeAdapter(*settings), .reload = [aFile] {
+       return dfm::ReadSteeringSettings(aFile);
+     } });
+  if (!gateway)
+    return Fail(gateway.error());
+  (*gateway)->Run();
+  return EXIT_SUCCESS;
+}
+
 int
 Serve(const dfm::Settings& aSettings)
 {
@@ -38,6 +68,8 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (argc > 1)
     return Fail({ { argv[1], "is not a flag" } });
+  if (FLAGS_platform)
+    return ServeOnPlatform(FLAGS_config);
   if (FLAGS_config.empty())
     return Fail({ { "--config", "is missing" } });
 
--- /dev/null
+++ b/unittests/Platform/GatewayFixture.cpp
@@ -0,0 +1,193 @@
+#include "GatewayFixture.h"
+
+#include "platform/Adapter.h"
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+
+namespace dfm::test {
+
+namespace {
+
+/// A port that was free a moment ago, on which a server or a peer may listen.
+uint16_t
+FreePort()
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint().port();
+}
+
+Endpoint
+FreeEndpoint()
+{
+  return { .address = "127.0.0.1", .port = FreePort() };
+}
+
+} // namespace
+
+json::value
+ManifestSpec(unsigned aVersion, const std::vector<RouteText>& aRoutes)
+{
+  json::array routes;
+  json::array services;
+  for (const RouteText& route : aRoutes) {
+    routes.push_back(json::object{
+      { "name", route.name },
+      { "host", "shop.example" },
+      { "path_prefix", route.prefix },
+      { "route_type", route.idempotent ? "idempotent" : "non_idempotent" },
+      { "timeout_s", route.timeout },
+      { "goal_s", route.timeout / 2 },
+      { "priority", 0 },
+      { "backend", route.service },
+      { "attempts", route.attempts },
+      { "sticky", true },
+      { "home_regions", json::array{} },
+    });
+    services.push_back(json::object{ { "name", route.service },
+                                     { "health_path", "/healthz" },
+                                     { "max_conns", 100 },
+                                     { "cold_start_s", 1.0 },
+                                     { "cold_per_s", 20.0 } });
+  }
+  return json::object{
+    { "version", fmt::format("{:08x}", aVersion) },
+    { "routes", routes },
+    { "services", services },
+    { "limits",
+      json::object{ { "max_header_bytes", 16384 },
+                    { "max_body_bytes", 100000 },
+                    { "header_timeout_s", 3 },
+                    { "idle_timeout_s", 15 } } },
+  };
+}
+
+json::value
+InstanceSpec(const StandInInstance& aInstance,
+             const std::string& aService,
+             const std::string& aState,
+             double aColdLeft)
+{
+  return json::object{
+    { "addr", fmt::format("127.0.0.1:{}", aInstance.Address().port) },
+    { "born", 1'000 },
+    { "info",
+      json::object{
+        { "backend", aService }, { "version", "v1" }, { "zone", "north-a" }, { "slots", 4 } } },
+    { "status", json::object{ { "state", aState }, { "seq", 1 }, { "cold_left_s", aColdLeft } } },
+  };
+}
+
+GatewayFixture::GatewayFixture()
+{
+  settings_.self = { .id = VmId("vm-1"),
+                     .region = RegionId("north"),
+                     .failureDomain = FailureDomainId("north-a"),
+                     .callers = FreeEndpoint(),
+                     .peers = FreeEndpoint() };
+  settings_.loadReports = FreeEndpoint();
+  settings_.readiness = FreeEndpoint();
+  settings_.directory = FreeEndpoint();
+  settings_.operators = FreeEndpoint();
+  settings_.store = store_.Address();
+  settings_.failureDomains = { { FailureDomainId("north-a"), RegionId("north") } };
+  settings_.stopTime = 6s;
+  settings_.directoryTtl = 1s;
+  settings_.retryRatio = 0.2;
+  settings_.retrySlack = 50;
+}
+
+GatewayFixture::~GatewayFixture()
+{
+  Stop();
+}
+
+void
+GatewayFixture::Start(bool aReady)
+{
+  auto gateway = Gateway::Create(
+    { .settings = settings_, .platform = platform::MakeAdapter(settings_), .reload = [this] {
+       return Checked<SteeringSettings>(settings_);
+     } });
+  if (!gateway)
+    throw std::runtime_error(FormatFindings(gateway.error()));
+  gateway_ = std::move(*gateway);
+  thread_ = std::thread([this] { gateway_->Run(); });
+  if (!aReady)
+    return;
+  const bool ready = Eventually([this] {
+    const auto answer = Get(settings_.readiness, "/ready");
+    return answer && answer->result() == http::status::ok;
+  });
+  if (!ready)
+    throw std::runtime_error("the VM did not become ready");
+}
+
+void
+GatewayFixture::Stop()
+{
+  if (gateway_ == nullptr)
+    return;
+  gateway_->BeginStop();
+  thread_.join();
+  gateway_.reset();
+}
+
+bool
+GatewayFixture::Eventually(const std::function<bool()>& aCondition)
+{
+  constexpr int kTries = 3000;
+  for (int i = 0; i < kTries; ++i) {
+    if (aCondition())
+      return true;
+    std::this_thread::sleep_for(10ms);
+  }
+  return false;
+}
+
+std::optional<Response>
+GatewayFixture::Send(http::verb aMethod,
+                     const std::string& aTarget,
+                     const std::string& aId,
+                     const std::string& aBody)
+{
+  Request request(aMethod, aTarget, 11);
+  request.set(http::field::host, "shop.example");
+  request.set("X-Request-Id", aId);
+  request.set("X-Affinity-Key", "17");
+  request.set("X-Deadline-Ms", "5000");
+  request.body() = aBody;
+  request.prepare_payload();
+  return Exchange(settings_.self.callers, std::move(request));
+}
+
+std::optional<Response>
+GatewayFixture::Get(const Endpoint& aEndpoint, const std::string& aTarget)
+{
+  Request request(http::verb::get, aTarget, 11);
+  request.set(http::field::host, "vm");
+  return Exchange(aEndpoint, std::move(request));
+}
+
+std::optional<Response>
+Exchange(const Endpoint& aEndpoint, Request aRequest)
+{
+  asio::io_context context;
+  tcp::socket socket(context);
+  error_code error;
+  socket.connect(ToTcp(aEndpoint), error);
+  if (!error)
+    http::write(socket, aRequest, error);
+  if (error)
+    return std::nullopt;
+  beast::flat_buffer buffer;
+  Response response;
+  http::read(socket, buffer, response, error);
+  if (error)
+    return std::nullopt;
+  return response;
+}
+
+} // namespace dfm::test
--- /dev/null
+++ b/unittests/Platform/StandIns.cpp
@@ -0,0 +1,378 @@
+#include "StandIns.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/make_printable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+#include <future>
+#include <sstream>
+
+namespace dfm::test {
+
+namespace {
+
+std::string
+Text(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::vector<std::string>
+Split(const std::string& aText, char aSeparator)
+{
+  std::vector<std::string> parts;
+  std::stringstream stream(aText);
+  for (std::string part; std::getline(stream, part, aSeparator);) {
+    if (!part.empty())
+      parts.push_back(part);
+  }
+  return parts;
+}
+
+std::string
+QueryValue(const std::string& aQuery, const std::string& aName)
+{
+  for (const std::string& part : Split(aQuery, '&')) {
+    if (part.starts_with(aName + "="))
+      return part.substr(aName.size() + 1);
+  }
+  return {};
+}
+
+Response
+JsonAnswer(unsigned aStatus, const json::value& aValue)
+{
+  Response answer(static_cast<http::status>(aStatus), 11);
+  answer.set(http::field::content_type, "application/json");
+  answer.body() = json::serialize(aValue);
+  return answer;
+}
+
+std::string
+Serialized(Response aAnswer)
+{
+  std::ostringstream stream;
+  stream << aAnswer;
+  return stream.str();
+}
+
+} // namespace
+
+struct StandInServer::Session
+{
+  explicit Session(tcp::socket aSocket)
+    : socket(std::move(aSocket))
+  {
+  }
+
+  tcp::socket socket;
+  beast::flat_buffer buffer;
+};
+
+StandInServer::StandInServer(Handler aHandler)
+  : handler_(std::move(aHandler))
+  , work_(asio::make_work_guard(context_))
+  , acceptor_(context_)
+{
+  address_ = { .address = "127.0.0.1", .port = 0 };
+  Open();
+  thread_ = std::thread([this] { context_.run(); });
+}
+
+StandInServer::~StandInServer()
+{
+  context_.stop();
+  thread_.join();
+}
+
+void
+StandInServer::Open()
+{
+  const tcp::endpoint endpoint = ToTcp(address_);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen();
+  address_ = FromTcp(acceptor_.local_endpoint());
+  asio::co_spawn(context_, Accept(), asio::detached);
+}
+
+void
+StandInServer::Close()
+{
+  std::promise<void> done;
+  asio::post(context_, [&] {
+    acceptor_.close();
+    for (const auto& weak : sessions_) {
+      if (const auto session = weak.lock()) {
+        session->socket.set_option(asio::socket_base::linger(true, 0));
+        session->socket.close();
+      }
+    }
+    sessions_.clear();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+asio::awaitable<void>
+StandInServer::Accept()
+{
+  for (;;) {
+    auto [error, socket] = co_await acceptor_.async_accept(kAwaitTuple);
+    if (error)
+      co_return;
+    auto session = std::make_shared<Session>(std::move(socket));
+    sessions_.push_back(session);
+    asio::co_spawn(context_, Serve(session), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+StandInServer::Serve(std::shared_ptr<Session> aSession)
+{
+  for (;;) {
+    Request request;
+    auto [readError, read] =
+      co_await http::async_read(aSession->socket, aSession->buffer, request, kAwaitTuple);
+    if (readError)
+      co_return;
+    Reaction reaction = handler_(request);
+    if (reaction.silent || reaction.delay.count() > 0) {
+      asio::steady_timer timer(context_,
+                               reaction.silent ? Duration(std::chrono::hours(1)) : reaction.delay);
+      const auto closed = std::make_shared<bool>(false);
+      aSession->socket.async_wait(tcp::socket::wait_read, [closed, &timer](error_code) {
+        *closed = true;
+        timer.cancel();
+      });
+      co_await timer.async_wait(kAwaitTuple);
+      if (*closed) {
+        ++closedByPeer_;
+        co_return;
+      }
+      aSession->socket.cancel();
+      // The handler of the wait refers to the timer until it has run.
+      co_await asio::post(context_, asio::use_awaitable);
+    }
+    if (reaction.closes) {
+      aSession->socket.close();
+      co_return;
+    }
+    reaction.answer.keep_alive(reaction.answer.keep_alive() && request.keep_alive());
+    if (!reaction.answer.has_content_length() && !reaction.answer.chunked())
+      reaction.answer.prepare_payload();
+    std::string bytes = Serialized(std::move(reaction.answer));
+    if (reaction.cutAfter > 0)
+      bytes.resize(std::min(bytes.size(), reaction.cutAfter));
+    bytes = reaction.rawBefore + bytes + reaction.rawAfter;
+    auto [writeError, written] =
+      co_await asio::async_write(aSession->socket, asio::buffer(bytes), kAwaitTuple);
+    if (writeError || reaction.cutAfter > 0) {
+      aSession->socket.close();
+      co_return;
+    }
+  }
+}
+
+StandInStore::StandInStore()
+  : server_([this](const Request& aRequest) { return Handle(aRequest); })
+{
+}
+
+json::value
+StandInStore::Change(const std::string& aKind,
+                     const std::string& aName,
+                     json::value aSpec,
+                     bool aDeleted)
+{
+  ++revision_;
+  json::value object = json::object{
+    { "metadata", json::object{ { "name", aName }, { "revision", revision_ } } },
+    { "spec", std::move(aSpec) },
+    { "status", nullptr },
+  };
+  if (aDeleted)
+    objects_[aKind].erase(aName);
+  else
+    objects_[aKind][aName] = object;
+  events_.push_back(
+    { .revision = revision_, .kind = aKind, .object = object, .deleted = aDeleted });
+  return object;
+}
+
+void
+StandInStore::Put(const std::string& aKind, const std::string& aName, json::value aSpec)
+{
+  const std::scoped_lock lock(mutex_);
+  Change(aKind, aName, std::move(aSpec), false);
+}
+
+void
+StandInStore::Delete(const std::string& aKind, const std::string& aName)
+{
+  const std::scoped_lock lock(mutex_);
+  Change(aKind, aName, nullptr, true);
+}
+
+void
+StandInStore::DropHistory()
+{
+  const std::scoped_lock lock(mutex_);
+  ++revision_;
+  firstRevision_ = revision_;
+  events_.clear();
+}
+
+bool
+StandInStore::Contains(const std::string& aKind, const std::string& aName)
+{
+  const std::scoped_lock lock(mutex_);
+  return objects_[aKind].contains(aName);
+}
+
+Response
+StandInStore::Get(const std::string& aKind, const std::string& aQuery)
+{
+  const std::string watch = QueryValue(aQuery, "watch");
+  if (!watch.empty()) {
+    const uint64_t from = std::stoull(watch);
+    if (from < firstRevision_)
+      return JsonAnswer(410, json::object{ { "error", "history is gone" } });
+    json::array events;
+    for (const Event& event : events_) {
+      if (event.kind == aKind && event.revision > from)
+        events.push_back(json::object{ { "object", event.object }, { "deleted", event.deleted } });
+    }
+    return JsonAnswer(200, json::object{ { "events", events }, { "as_of", revision_ } });
+  }
+  // Short pages, so that each list needs several calls.
+  constexpr size_t kPage = 2;
+  const std::string after = QueryValue(aQuery, "after");
+  json::array items;
+  bool more = false;
+  for (const auto& [name, object] : objects_[aKind]) {
+    if (name <= after)
+      continue;
+    more = items.size() == kPage;
+    if (more)
+      break;
+    items.push_back(object);
+  }
+  return JsonAnswer(
+    200, json::object{ { "items", items }, { "has_more", more }, { "as_of", revision_ } });
+}
+
+Response
+StandInStore::Write(const Request& aRequest, const std::vector<std::string>& aPath)
+{
+  json::value body;
+  if (!aRequest.body().empty())
+    body = json::parse(aRequest.body());
+  const std::string& kind = aPath[1];
+  if (aRequest.method() == http::verb::post) {
+    const std::string name(body.at("metadata").at("name").as_string());
+    if (objects_[kind].contains(name))
+      return JsonAnswer(409, objects_[kind][name]);
+    return JsonAnswer(201, Change(kind, name, body.at("spec"), false));
+  }
+  const std::string& name = aPath.at(2);
+  if (!objects_[kind].contains(name))
+    return JsonAnswer(404, json::object{});
+  if (aRequest.method() == http::verb::delete_)
+    return JsonAnswer(200, Change(kind, name, nullptr, true));
+  return JsonAnswer(200, Change(kind, name, body.at("spec"), false));
+}
+
+Reaction
+StandInStore::Handle(const Request& aRequest)
+{
+  ++calls_;
+  if (mode_ == Mode::Silent)
+    return { .silent = true };
+  if (mode_ == Mode::Refusing)
+    return { .answer = JsonAnswer(503, json::object{}) };
+  const std::string target = Text(aRequest.target());
+  const size_t mark = target.find('?');
+  const std::string query = mark == std::string::npos ? "" : target.substr(mark + 1);
+  const std::vector<std::string> path = Split(target.substr(0, mark), '/');
+  const std::scoped_lock lock(mutex_);
+  if (aRequest.method() != http::verb::get)
+    return { .answer = Write(aRequest, path) };
+  Reaction reaction{ .answer = Get(path.at(1), query) };
+  // A watch without news answers late, so that the caller does not spin; events are seen at the
+  // next call.
+  if (!QueryValue(query, "watch").empty() &&
+      reaction.answer.body().find("\"events\":[]") != std::string::npos)
+    reaction.delay = 20ms;
+  return reaction;
+}
+
+StandInInstance::StandInInstance(std::string aId)
+  : id_(std::move(aId))
+  , server_([this](const Request& aRequest) { return Handle(aRequest); })
+{
+}
+
+void
+StandInInstance::SetBehaviour(std::function<Reaction(const Request&)> aBehaviour)
+{
+  const std::scoped_lock lock(mutex_);
+  behaviour_ = std::move(aBehaviour);
+}
+
+std::vector<Request>
+StandInInstance::Seen()
+{
+  const std::scoped_lock lock(mutex_);
+  return seen_;
+}
+
+Reaction
+StandInInstance::Good(const Request& aRequest) const
+{
+  Response answer(http::status::ok, 11);
+  answer.set("X-Request-Id", aRequest["X-Request-Id"]);
+  answer.set("X-Server-Stamp", "stamp-" + id_);
+  answer.set("X-Instance-Id", id_);
+  answer.body() = fmt::format("{} from {}", Text(aRequest.target()), id_);
+  return { .answer = std::move(answer) };
+}
+
+Reaction
+StandInInstance::Shed(const Request& aRequest) const
+{
+  Response answer(http::status::service_unavailable, 11);
+  answer.set("X-Request-Id", aRequest["X-Request-Id"]);
+  answer.set("X-Not-Executed", "1");
+  return { .answer = std::move(answer) };
+}
+
+Reaction
+StandInInstance::Handle(const Request& aRequest)
+{
+  const auto expected = aRequest["X-Expect-Instance"];
+  if (!expected.empty() && Text(expected) != id_) {
+    Response answer(http::status::misdirected_request, 11);
+    answer.set("X-Instance-Id", id_);
+    return { .answer = std::move(answer) };
+  }
+  if (aRequest.target() == "/healthz")
+    return Good(aRequest);
+  std::function<Reaction(const Request&)> behaviour;
+  {
+    const std::scoped_lock lock(mutex_);
+    seen_.push_back(aRequest);
+    behaviour = behaviour_;
+  }
+  return behaviour ? behaviour(aRequest) : Good(aRequest);
+}
+
+} // namespace dfm::test
