--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -115,6 +115,7 @@
 {
   VmId self;
   RegionId region;
+  FailureDomainId failureDomain;
   uint64_t randomSeed = 0;
   /// Repeats that all VMs together may add for each request of a service, and in each window
   /// besides.
@@ -195,6 +196,18 @@
   };
   ServiceState& StateOf(const ServiceId& aService);
   void Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest);
+  struct Ranked
+  {
+    InstanceTracker* instance = nullptr;
+    uint64_t weight = 0; ///< Of the instance for the request's key.
+    bool degraded = false;
+    bool home = false; ///< One of the instances that keep the object warm.
+    bool far = false;  ///< In another failure domain, to which bytes are priced.
+  };
+
+  /// Marks the instances that keep an object warm, out of all usable ones of a region in order of
+  /// weight.
+  static void MarkHomes(std::vector<Ranked>& aRanked);
   InstanceTracker* Choose(TimePoint aNow,
                           const Request& aRequest,
                           const ServiceState& aState) const;
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -76,6 +76,11 @@
                  const std::vector<ObjectChange>& aChanges);
   /// Calls to the store fail, or work again.
   void OnStoreReachable(TimePoint aNow, bool aReachable);
+  /// Another VM said whether the store answers it steadily. If it does, the store is not down: what
+  /// is missing there is gone, not lapsed.
+  void OnStoreElsewhere(TimePoint aNow, bool aSteady);
+  /// Whether the store answers this VM, and lapsed entries had time to come back.
+  bool IsStoreSteady(TimePoint aNow) const;
   /// Removes instances whose time to register again is over. True when there were any.
   bool OnTick(TimePoint aNow);
 
@@ -105,6 +110,7 @@
   std::map<std::string, Entry> instances_;
   bool reachable_ = true;
   std::optional<TimePoint> regainedAt_;
+  std::optional<TimePoint> steadyElsewhereAt_;
 };
 
 } // namespace dfm
--- a/include/dragonflymoor/Steering/PeerMessages.h
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -46,6 +46,8 @@
 
     bool operator==(const Kind&) const = default;
   };
+  /// The store answers the sender, and has for long enough that lapsed entries are back.
+  bool storeSteady = false;
   std::vector<Kind> kinds;
 
   bool operator==(const StateReply&) const = default;
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -362,7 +362,8 @@
 StateReply
 FleetSync::ReplyTo(const StateRequest& aRequest) const
 {
-  StateReply reply;
+  StateReply reply{ .storeSteady =
+                      StoreReachable() && keeper_.IsStoreSteady(ReadClocks().monotonic) };
   for (size_t i = 0; i < kObjectKindCount; ++i) {
     const auto kind = static_cast<ObjectKind>(i);
     if (keeper_.Set(kind).revision > aRequest.revisions[i])
@@ -374,6 +375,7 @@
 void
 FleetSync::OnState(const StateReply& aReply)
 {
+  keeper_.OnStoreElsewhere(ReadClocks().monotonic, aReply.storeSteady);
   for (const StateReply::Kind& kind : aReply.kinds) {
     if (reachable_[static_cast<size_t>(kind.kind)])
       continue; // The store itself is nearer to the truth.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -97,6 +97,7 @@
   , random(RandomNumber())
   , dispatcher(DispatcherOptions{ .self = settings.self.id,
                                   .region = settings.self.region,
+                                  .failureDomain = settings.self.failureDomain,
                                   .randomSeed = random.Next(),
                                   .retryRatio = settings.retryRatio,
                                   .retrySlack = settings.retrySlack },
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -11,11 +11,14 @@
 
 /// Part of the goal for which a request waits for one of the instances that may hold its object,
 /// before it takes a free slot anywhere in the region. A cold object costs three times the work.
-constexpr double kWarmWaitShare = 0.1;
+constexpr double kWarmWaitShare = 0.3;
 
-/// Instances on which an object may be kept warm: as many as its instances' memory allows while the
-/// load can still be balanced.
-constexpr size_t kWarmChoices = 2;
+/// Objects are divided between at least this many instances: an instance keeps somewhat more than
+/// half of the objects of a region warm.
+constexpr size_t kObjectParts = 2;
+
+/// Instances of a region that keep one object warm when they are not chosen for each failure domain.
+constexpr size_t kMostHomes = 2;
 
 /// Bounds, as parts of the goal, of the time that a request waits for a slot before it is refused.
 /// Within an eighth of the goal a refusal costs the caller nothing.
@@ -247,12 +250,6 @@
                      const ServiceState& aState,
                      const RegionId& aRegion) const
 {
-  struct Ranked
-  {
-    InstanceTracker* state = nullptr;
-    uint64_t weight = 0;
-    bool degraded = false;
-  };
   std::vector<Ranked> ranked;
   ranked.reserve(aState.candidates.size());
   for (const auto& candidate : aState.candidates) {
@@ -262,26 +259,54 @@
     if (std::find(aRequest.tried.begin(), aRequest.tried.end(), state->Spec().id) !=
         aRequest.tried.end())
       continue;
-    ranked.push_back({ .state = state,
+    ranked.push_back({ .instance = state,
                        .weight = Mix(aRequest.key, candidate.hash),
-                       .degraded = state->IsDegraded(aNow, aState.typicalLatency) });
+                       .degraded = state->IsDegraded(aNow, aState.typicalLatency),
+                       .far = state->Spec().failureDomain != options_.failureDomain });
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
+    return aLeft.weight > aRight.weight;
+  });
+  MarkHomes(ranked);
+  std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
     if (aLeft.degraded != aRight.degraded)
       return aRight.degraded;
-    return aLeft.weight > aRight.weight;
+    if (aLeft.home != aRight.home)
+      return aLeft.home;
+    return aLeft.home && !aLeft.far && aRight.far;
   });
-  const bool warmOnly =
+  const bool homesOnly =
     aNow - aRequest.spec.arrived < Scale(aRequest.spec.route->goal, kWarmWaitShare);
-  if (warmOnly && ranked.size() > kWarmChoices)
-    ranked.resize(kWarmChoices);
   for (const Ranked& candidate : ranked) {
-    if (candidate.state->FreeSlots(aNow) > 0)
-      return candidate.state;
+    if (homesOnly && !candidate.home)
+      continue;
+    if (candidate.instance->FreeSlots(aNow) > 0)
+      return candidate.instance;
   }
   return nullptr;
 }
 
+void
+Dispatcher::MarkHomes(std::vector<Ranked>& aRanked)
+{
+  std::map<FailureDomainId, size_t> perDomain;
+  for (const Ranked& candidate : aRanked)
+    ++perDomain[candidate.instance->Spec().failureDomain];
+  const bool inEachDomain =
+    std::all_of(perDomain.begin(), perDomain.end(), [](const auto& aEntry) {
+      return aEntry.second >= kObjectParts;
+    });
+  if (inEachDomain) {
+    std::set<FailureDomainId> marked;
+    for (Ranked& candidate : aRanked)
+      candidate.home = marked.insert(candidate.instance->Spec().failureDomain).second;
+    return;
+  }
+  const size_t homes = std::clamp<size_t>(aRanked.size() / kObjectParts, 1, kMostHomes);
+  for (size_t i = 0; i < std::min(homes, aRanked.size()); ++i)
+    aRanked[i].home = true;
+}
+
 InstanceTracker*
 Dispatcher::Choose(TimePoint aNow, const Request& aRequest, const ServiceState& aState) const
 {
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -10,6 +10,10 @@
 /// returns.
 constexpr Duration kRegisterAgainTime = 2200ms;
 
+/// How long another VM's word that the store answers it counts. Without the store this VM asks
+/// several times in this span.
+constexpr Duration kSteadyElsewhereLife = 1500ms;
+
 } // namespace
 
 std::string_view
@@ -130,8 +134,9 @@
   if (found == instances_.end())
     return;
   Entry& entry = found->second;
-  const bool outage = !reachable_ || (regainedAt_ && aNow - *regainedAt_ < kRegisterAgainTime);
-  if (outage && entry.instance && !entry.instance->draining) {
+  const bool steadyElsewhere =
+    steadyElsewhereAt_ && aNow - *steadyElsewhereAt_ < kSteadyElsewhereLife;
+  if (!IsStoreSteady(aNow) && !steadyElsewhere && entry.instance && !entry.instance->draining) {
     const TimePoint from = reachable_ ? *regainedAt_ : aNow;
     entry.removeAt = from + kRegisterAgainTime;
     hooks_.instanceChanged(*entry.instance, "lapsed");
@@ -142,6 +147,19 @@
   instances_.erase(found);
 }
 
+bool
+FleetKeeper::IsStoreSteady(TimePoint aNow) const
+{
+  return reachable_ && (!regainedAt_ || aNow - *regainedAt_ >= kRegisterAgainTime);
+}
+
+void
+FleetKeeper::OnStoreElsewhere(TimePoint aNow, bool aSteady)
+{
+  if (aSteady)
+    steadyElsewhereAt_ = aNow;
+}
+
 void
 FleetKeeper::OnStoreReachable(TimePoint aNow, bool aReachable)
 {
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -54,7 +54,7 @@
     sets.push_back(
       wire::CreateStateSetDirect(aBuilder, static_cast<uint8_t>(kind), set.revision, &entries));
   }
-  return { wire::SteeringBody::StateReply, wire::CreateStateReplyDirect(aBuilder, &sets).Union() };
+  return { wire::SteeringBody::StateReply, wire::CreateStateReplyDirect(aBuilder, aReply.storeSteady, &sets).Union() };
 }
 
 PeerMessage
@@ -82,7 +82,7 @@
 Decoded<PeerMessage>
 Decode(const wire::StateReply& aReply)
 {
-  StateReply reply;
+  StateReply reply{ .storeSteady = aReply.store_steady() };
   if (aReply.sets() == nullptr)
     return reply;
   for (const wire::StateSet* set : *aReply.sets()) {
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -428,13 +428,18 @@
 struct StateReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StateReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SETS = 4
+    VT_STORE_STEADY = 4,
+    VT_SETS = 6
   };
+  bool store_steady() const {
+    return GetField<uint8_t>(VT_STORE_STEADY, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::StateSet>> *sets() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::StateSet>> *>(VT_SETS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_STEADY, 1) &&
            VerifyOffset(verifier, VT_SETS) &&
            verifier.VerifyVector(sets()) &&
            verifier.VerifyVectorOfTables(sets()) &&
@@ -446,6 +451,9 @@
   typedef StateReply Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_store_steady(bool store_steady) {
+    fbb_.AddElement<uint8_t>(StateReply::VT_STORE_STEADY, static_cast<uint8_t>(store_steady), 0);
+  }
   void add_sets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::StateSet>>> sets) {
     fbb_.AddOffset(StateReply::VT_SETS, sets);
   }
@@ -462,18 +470,22 @@
 
 inline flatbuffers::Offset<StateReply> CreateStateReply(
     flatbuffers::FlatBufferBuilder &_fbb,
+    bool store_steady = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::StateSet>>> sets = 0) {
   StateReplyBuilder builder_(_fbb);
   builder_.add_sets(sets);
+  builder_.add_store_steady(store_steady);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<StateReply> CreateStateReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    bool store_steady = false,
     const std::vector<flatbuffers::Offset<dfm::wire::StateSet>> *sets = nullptr) {
   auto sets__ = sets ? _fbb.CreateVector<flatbuffers::Offset<dfm::wire::StateSet>>(*sets) : 0;
   return dfm::wire::CreateStateReply(
       _fbb,
+      store_steady,
       sets__);
 }
 
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -44,4 +44,16 @@
   cr_assert(unknown && unknown->result() == http::status::not_found);
 }
 
+/// A stop that came while a call for the registered VMs waited for its answer used the same
+/// connection a second time, and the process ended with requests in flight.
+Test(Gateway, StopsWhileTheStoreIsSilent)
+{
+  GatewayFixture fixture;
+  fixture.Store().SetMode(StandInStore::Mode::Silent);
+  fixture.Start(false);
+  const bool called = GatewayFixture::Eventually([&] { return fixture.Store().Calls() >= 4; });
+  cr_assert(called);
+  fixture.Stop();
+}
+
 } // namespace
