Let two VMs of each failure domain follow the store for the others

Ruled out: longer waits of the watches (the calls come from changes, not from their ends). Change: the two VMs of a failure domain with the highest rendezvous weight watch; the others ask one of them every 200 ms for the changes since their revision and watch themselves when none answers steadily for 800 ms. A follower pauses after each change, so that bursts come in few answers.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -54,14 +54,20 @@
   asio::awaitable<void> Register();
   asio::awaitable<void> ListVms();
   asio::awaitable<void> AskPeers();
-  asio::awaitable<void> AskPeer(Endpoint aPeer);
+  asio::awaitable<void> AskPeer(Vm aPeer);
+  /// The VMs of the own failure domain that follow the store for the others, this one perhaps among
+  /// them.
+  std::vector<Vm> StoreFollowers() const;
+  /// Another VM follows the store for this one, and answers.
+  bool IsServedByPeer() const;
+  Duration PauseBetweenWatches() const;
   asio::awaitable<void> AcceptPeers();
   asio::awaitable<void> Tick();
   void OnStoreAnswer(ObjectKind aKind, const std::optional<StoreError>& aError);
   bool StoreReachable() const;
-  std::optional<Endpoint> ChoosePeer();
+  std::optional<Vm> ChoosePeer();
   StateReply ReplyTo(const StateRequest& aRequest) const;
-  void OnState(const StateReply& aReply);
+  void OnState(const VmId& aFrom, const StateReply& aReply);
   void StartMembership();
   void PublishView();
   asio::awaitable<void> Sleep(Duration aDuration);
@@ -80,6 +86,8 @@
   uint64_t publishedEpoch_ = 0;
   std::array<bool, kObjectKindCount> reachable_{}; ///< The last call for each kind succeeded.
   std::vector<Vm> registeredVms_;
+  /// When a VM that follows the store for this one last answered that the store is steady.
+  std::optional<TimePoint> servedAt_;
   bool stopping_ = false;
 };
 
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -4,11 +4,13 @@
 #include "dragonflymoor/Steering/FleetView.h"
 #include "dragonflymoor/Support/Finding.h"
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace dfm {
@@ -84,6 +86,9 @@
   /// Removes instances whose time to register again is over. True when there were any.
   bool OnTick(TimePoint aNow);
 
+  /// What changed in one kind after aRevision, the latest state of each object once; empty when
+  /// that is no longer known.
+  std::optional<std::vector<ObjectChange>> ChangesSince(ObjectKind aKind, uint64_t aRevision) const;
   const ObjectSet& Set(ObjectKind aKind) const { return sets_[static_cast<size_t>(aKind)]; }
   bool HasManifest() const { return routes_ != nullptr; }
   /// The members of the view that follow from the store.
@@ -97,6 +102,13 @@
     std::optional<TimePoint> removeAt; ///< Set while the entry is missing in the store.
   };
 
+  /// Names of objects that changed, with the revision at which that was learnt.
+  struct History
+  {
+    uint64_t since = 0; ///< Changes after this revision are complete.
+    std::deque<std::pair<uint64_t, std::string>> names;
+  };
+
   ObjectSet& MutableSet(ObjectKind aKind) { return sets_[static_cast<size_t>(aKind)]; }
   void Apply(TimePoint aNow, ObjectKind aKind, const ObjectChange& aChange);
   void ApplyManifest(std::string_view aContent);
@@ -106,6 +118,7 @@
   ObjectDecoders decoders_;
   FleetKeeperHooks hooks_;
   std::array<ObjectSet, kObjectKindCount> sets_;
+  std::array<History, kObjectKindCount> histories_;
   std::shared_ptr<const RouteIndex> routes_;
   std::map<std::string, Entry> instances_;
   bool reachable_ = true;
--- a/include/dragonflymoor/Steering/PeerMessages.h
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -42,7 +42,9 @@
   struct Kind
   {
     ObjectKind kind = ObjectKind::Manifest;
-    ObjectSet set;
+    ObjectSet set; ///< All objects, or those that changed since the requested revision.
+    bool whole = true;
+    std::vector<std::string> removed; ///< Objects that are gone, when not whole.
 
     bool operator==(const Kind&) const = default;
   };
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -2,11 +2,13 @@
 
 #include "dragonflymoor/Gateway/PageServer.h"
 #include "dragonflymoor/Net/Clock.h"
+#include "dragonflymoor/Support/Hash.h"
 #include "dragonflymoor/Support/Log.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
+#include <set>
 
 namespace dfm {
 
@@ -23,8 +25,22 @@
 constexpr Duration kFirstRetryWait = 100ms;
 constexpr Duration kLongestRetryWait = 800ms;
 
-/// How often another VM is asked for the state while the store does not answer.
-constexpr Duration kAskPeriod = 300ms;
+/// VMs of one failure domain that follow the store; the others ask them. Calls to the store are
+/// priced, messages inside a failure domain are not.
+constexpr size_t kStoreFollowers = 2;
+
+/// A VM that asks others follows the store itself when none answered for this long.
+constexpr Duration kServedLife = 800ms;
+
+/// Pause between two watches of one kind for each VM that follows the store, and the longest: a
+/// burst of changes comes in a few answers instead of one each. The longest leaves most of the 2.5
+/// s within which changes must be in force.
+constexpr Duration kPausePerFollower = 10ms;
+constexpr Duration kLongestPause = 400ms;
+
+/// How often another VM is asked for the state, by a VM that does not follow the store and while
+/// the store does not answer.
+constexpr Duration kAskPeriod = 200ms;
 constexpr Duration kAskTimeout = 500ms;
 
 /// VMs that were registered are listed this often; changes are heard from the other VMs sooner.
@@ -190,6 +206,10 @@
   Duration wait = kFirstRetryWait;
   bool listed = false;
   for (;;) {
+    if (keeper_.Set(aKind).revision > 0 && IsServedByPeer()) {
+      co_await Sleep(kAskPeriod);
+      continue;
+    }
     if (!listed) {
       listed = co_await ListKind(aKind);
     } else {
@@ -197,9 +217,11 @@
       if (changes) {
         OnStoreAnswer(aKind, std::nullopt);
         keeper_.OnChanges(ReadClocks().monotonic, aKind, changes->revision, changes->changes);
-        if (!changes->changes.empty())
-          PublishView();
         wait = kFirstRetryWait;
+        if (!changes->changes.empty()) {
+          PublishView();
+          co_await Sleep(PauseBetweenWatches());
+        }
         continue;
       }
       // A watch that was cut may have missed changes without a word: the list shows them.
@@ -253,18 +275,72 @@
     membership_->OnVmList(ReadClocks(), list);
 }
 
-std::optional<Endpoint>
+std::vector<Vm>
+FleetSync::StoreFollowers() const
+{
+  std::vector<Vm> vms;
+  if (!membershipStarted_)
+    return { options_.self };
+  for (const Vm& vm : membership_->LiveNotLeaving()) {
+    if (vm.failureDomain == options_.self.failureDomain)
+      vms.push_back(vm);
+  }
+  const std::string& domain = options_.self.failureDomain.Value();
+  std::sort(vms.begin(), vms.end(), [&domain](const Vm& aLeft, const Vm& aRight) {
+    return RendezvousWeight(domain, aLeft.id.Value()) > RendezvousWeight(domain, aRight.id.Value());
+  });
+  vms.resize(std::min(vms.size(), kStoreFollowers));
+  return vms;
+}
+
+bool
+FleetSync::IsServedByPeer() const
+{
+  if (!servedAt_ || ReadClocks().monotonic - *servedAt_ >= kServedLife)
+    return false;
+  const auto followers = StoreFollowers();
+  return std::none_of(followers.begin(), followers.end(), [this](const Vm& aVm) {
+    return aVm.id == options_.self.id;
+  });
+}
+
+Duration
+FleetSync::PauseBetweenWatches() const
+{
+  std::set<FailureDomainId> domains;
+  size_t vms = 0;
+  if (membershipStarted_) {
+    for (const Vm& vm : membership_->LiveNotLeaving()) {
+      domains.insert(vm.failureDomain);
+      ++vms;
+    }
+  }
+  const size_t followers = std::min(vms, domains.size() * kStoreFollowers);
+  return std::min(kPausePerFollower * static_cast<int64_t>(followers), kLongestPause);
+}
+
+std::optional<Vm>
 FleetSync::ChoosePeer()
 {
-  std::vector<Endpoint> peers;
-  for (const Vm& vm : membership_->LiveNotLeaving())
-    peers.push_back(vm.peers);
-  if (peers.size() <= 1) {
-    peers.insert(peers.end(), options_.seeds.begin(), options_.seeds.end());
-    for (const Vm& vm : registeredVms_)
-      peers.push_back(vm.peers);
+  std::vector<Vm> peers;
+  if (StoreReachable()) {
+    peers = StoreFollowers();
+    const bool follows = std::any_of(
+      peers.begin(), peers.end(), [this](const Vm& aVm) { return aVm.id == options_.self.id; });
+    if (follows)
+      return std::nullopt;
+  } else {
+    peers = membership_->LiveNotLeaving();
+    if (peers.size() <= 1) {
+      peers.insert(peers.end(), registeredVms_.begin(), registeredVms_.end());
+      for (const Endpoint& seed : options_.seeds) {
+        Vm vm;
+        vm.peers = seed;
+        peers.push_back(vm);
+      }
+    }
   }
-  std::erase(peers, options_.self.peers);
+  std::erase_if(peers, [this](const Vm& aVm) { return aVm.peers == options_.self.peers; });
   if (peers.empty())
     return std::nullopt;
   return peers[random_.Below(peers.size())];
@@ -275,15 +351,13 @@
 {
   for (;;) {
     co_await Sleep(kAskPeriod);
-    if (StoreReachable())
-      continue;
     if (const auto peer = ChoosePeer())
       co_await AskPeer(*peer);
   }
 }
 
 asio::awaitable<void>
-FleetSync::AskPeer(Endpoint aPeer)
+FleetSync::AskPeer(Vm aPeer)
 {
   tcp::socket socket(context_);
   asio::steady_timer timer(context_, kAskTimeout);
@@ -292,7 +366,7 @@
     if (!aError)
       socket.close(ignored);
   });
-  auto [error] = co_await socket.async_connect(ToTcp(aPeer), kAwaitTuple);
+  auto [error] = co_await socket.async_connect(ToTcp(aPeer.peers), kAwaitTuple);
   timer.cancel();
   // The handler of the timer refers to the socket until it has run.
   co_await asio::post(context_, asio::use_awaitable);
@@ -309,7 +383,7 @@
         if (!envelope)
           return tl::unexpected(envelope.error());
         if (const auto* reply = std::get_if<StateReply>(&envelope->message))
-          OnState(*reply);
+          OnState(envelope->sender, *reply);
         done->cancel();
         return {};
       },
@@ -366,27 +440,56 @@
                       StoreReachable() && keeper_.IsStoreSteady(ReadClocks().monotonic) };
   for (size_t i = 0; i < kObjectKindCount; ++i) {
     const auto kind = static_cast<ObjectKind>(i);
-    if (keeper_.Set(kind).revision > aRequest.revisions[i])
-      reply.kinds.push_back({ .kind = kind, .set = keeper_.Set(kind) });
+    const ObjectSet& set = keeper_.Set(kind);
+    if (set.revision <= aRequest.revisions[i])
+      continue;
+    const auto changes = keeper_.ChangesSince(kind, aRequest.revisions[i]);
+    if (!changes) {
+      reply.kinds.push_back({ .kind = kind, .set = set });
+      continue;
+    }
+    StateReply::Kind answer{ .kind = kind, .set = { .revision = set.revision }, .whole = false };
+    for (const ObjectChange& change : *changes) {
+      if (change.content)
+        answer.set.objects[change.name] = *change.content;
+      else
+        answer.removed.push_back(change.name);
+    }
+    reply.kinds.push_back(std::move(answer));
   }
   return reply;
 }
 
 void
-FleetSync::OnState(const StateReply& aReply)
+FleetSync::OnState(const VmId& aFrom, const StateReply& aReply)
 {
-  keeper_.OnStoreElsewhere(ReadClocks().monotonic, aReply.storeSteady);
+  const TimePoint now = ReadClocks().monotonic;
+  keeper_.OnStoreElsewhere(now, aReply.storeSteady);
+  if (aReply.storeSteady)
+    servedAt_ = now;
+  bool changed = false;
   for (const StateReply::Kind& kind : aReply.kinds) {
-    if (reachable_[static_cast<size_t>(kind.kind)])
-      continue; // The store itself is nearer to the truth.
-    Log(LogLevel::Info,
+    if (kind.whole) {
+      keeper_.OnSet(now, kind.kind, kind.set);
+      changed = true;
+    } else {
+      std::vector<ObjectChange> changes;
+      for (const auto& [name, content] : kind.set.objects)
+        changes.push_back({ .name = name, .content = content });
+      for (const std::string& name : kind.removed)
+        changes.push_back({ .name = name });
+      keeper_.OnChanges(now, kind.kind, kind.set.revision, changes);
+      changed = changed || !changes.empty();
+    }
+    Log(LogLevel::Debug,
         kComponent,
         "state from another vm",
-        { { "kind", std::string(ToString(kind.kind)) },
-          { "revision", std::to_string(kind.set.revision) } });
-    keeper_.OnSet(ReadClocks().monotonic, kind.kind, kind.set);
+        { { "vm", aFrom.Value() },
+          { "kind", std::string(ToString(kind.kind)) },
+          { "revision", std::to_string(kind.set.revision) },
+          { "whole", kind.whole ? "1" : "0" } });
   }
-  if (!aReply.kinds.empty())
+  if (changed)
     PublishView();
 }
 
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -17,7 +17,8 @@
 /// half of the objects of a region warm.
 constexpr size_t kObjectParts = 2;
 
-/// Instances of a region that keep one object warm when they are not chosen for each failure domain.
+/// Instances of a region that keep one object warm when they are not chosen for each failure
+/// domain.
 constexpr size_t kMostHomes = 2;
 
 /// Bounds, as parts of the goal, of the time that a request waits for a slot before it is refused.
@@ -292,10 +293,9 @@
   std::map<FailureDomainId, size_t> perDomain;
   for (const Ranked& candidate : aRanked)
     ++perDomain[candidate.instance->Spec().failureDomain];
-  const bool inEachDomain =
-    std::all_of(perDomain.begin(), perDomain.end(), [](const auto& aEntry) {
-      return aEntry.second >= kObjectParts;
-    });
+  const bool inEachDomain = std::all_of(perDomain.begin(), perDomain.end(), [](const auto& aEntry) {
+    return aEntry.second >= kObjectParts;
+  });
   if (inEachDomain) {
     std::set<FailureDomainId> marked;
     for (Ranked& candidate : aRanked)
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymoor/Steering/FleetKeeper.h"
 
 #include <fmt/format.h>
+#include <set>
 
 namespace dfm {
 
@@ -14,6 +15,10 @@
 /// several times in this span.
 constexpr Duration kSteadyElsewhereLife = 1500ms;
 
+/// Changes of one kind that are remembered for other VMs; more than a replacement of all instances
+/// of a service brings.
+constexpr size_t kMaxHistory = 1024;
+
 } // namespace
 
 std::string_view
@@ -64,8 +69,16 @@
   ObjectSet& set = MutableSet(aKind);
   if (aRevision < set.revision)
     return;
+  History& history = histories_[static_cast<size_t>(aKind)];
+  if (set.revision == 0)
+    history.since = aRevision;
   set.revision = aRevision;
   for (const ObjectChange& change : aChanges) {
+    history.names.emplace_back(aRevision, change.name);
+    if (history.names.size() > kMaxHistory) {
+      history.since = history.names.front().first;
+      history.names.pop_front();
+    }
     if (change.content)
       set.objects[change.name] = *change.content;
     else
@@ -74,6 +87,28 @@
   }
 }
 
+std::optional<std::vector<ObjectChange>>
+FleetKeeper::ChangesSince(ObjectKind aKind, uint64_t aRevision) const
+{
+  const History& history = histories_[static_cast<size_t>(aKind)];
+  if (aRevision < history.since)
+    return std::nullopt;
+  const ObjectSet& set = Set(aKind);
+  std::set<std::string> names;
+  for (const auto& [revision, name] : history.names) {
+    if (revision > aRevision)
+      names.insert(name);
+  }
+  std::vector<ObjectChange> changes;
+  for (const std::string& name : names) {
+    const auto object = set.objects.find(name);
+    changes.push_back({ .name = name });
+    if (object != set.objects.end())
+      changes.back().content = object->second;
+  }
+  return changes;
+}
+
 void
 FleetKeeper::Apply(TimePoint aNow, ObjectKind aKind, const ObjectChange& aChange)
 {
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -47,14 +47,18 @@
 Encode(FlatBufferBuilder& aBuilder, const StateReply& aReply)
 {
   std::vector<Offset<wire::StateSet>> sets;
-  for (const auto& [kind, set] : aReply.kinds) {
+  for (const auto& [kind, set, whole, removed] : aReply.kinds) {
     std::vector<Offset<wire::ObjectEntry>> entries;
     for (const auto& [name, content] : set.objects)
       entries.push_back(wire::CreateObjectEntryDirect(aBuilder, name.c_str(), content.c_str()));
-    sets.push_back(
-      wire::CreateStateSetDirect(aBuilder, static_cast<uint8_t>(kind), set.revision, &entries));
+    std::vector<Offset<flatbuffers::String>> names;
+    for (const std::string& name : removed)
+      names.push_back(aBuilder.CreateString(name));
+    sets.push_back(wire::CreateStateSetDirect(
+      aBuilder, static_cast<uint8_t>(kind), set.revision, &entries, whole, &names));
   }
-  return { wire::SteeringBody::StateReply, wire::CreateStateReplyDirect(aBuilder, aReply.storeSteady, &sets).Union() };
+  return { wire::SteeringBody::StateReply,
+           wire::CreateStateReplyDirect(aBuilder, aReply.storeSteady, &sets).Union() };
 }
 
 PeerMessage
@@ -89,12 +93,16 @@
     if (set->kind() >= kObjectKindCount)
       return tl::unexpected(
         CodecError{ fmt::format("state reply: kind {} does not exist", set->kind()) });
-    StateReply::Kind kind{ .kind = static_cast<ObjectKind>(set->kind()) };
+    StateReply::Kind kind{ .kind = static_cast<ObjectKind>(set->kind()), .whole = set->whole() };
     kind.set.revision = set->revision();
     if (set->objects() != nullptr) {
       for (const wire::ObjectEntry* entry : *set->objects())
         kind.set.objects[entry->name()->str()] = entry->content()->str();
     }
+    if (set->removed() != nullptr) {
+      for (const flatbuffers::String* name : *set->removed())
+        kind.removed.push_back(name->str());
+    }
     reply.kinds.push_back(std::move(kind));
   }
   return reply;
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -354,7 +354,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KIND = 4,
     VT_REVISION = 6,
-    VT_OBJECTS = 8
+    VT_OBJECTS = 8,
+    VT_WHOLE = 10,
+    VT_REMOVED = 12
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -365,6 +367,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *objects() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *>(VT_OBJECTS);
   }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -372,6 +380,10 @@
            VerifyOffset(verifier, VT_OBJECTS) &&
            verifier.VerifyVector(objects()) &&
            verifier.VerifyVectorOfTables(objects()) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_REMOVED) &&
+           verifier.VerifyVector(removed()) &&
+           verifier.VerifyVectorOfStrings(removed()) &&
            verifier.EndTable();
   }
 };
@@ -389,6 +401,12 @@
   void add_objects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>>> objects) {
     fbb_.AddOffset(StateSet::VT_OBJECTS, objects);
   }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(StateSet::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
+  void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed) {
+    fbb_.AddOffset(StateSet::VT_REMOVED, removed);
+  }
   explicit StateSetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -404,10 +422,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t kind = 0,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>>> objects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>>> objects = 0,
+    bool whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0) {
   StateSetBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_removed(removed);
   builder_.add_objects(objects);
+  builder_.add_whole(whole);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -416,13 +438,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t kind = 0,
     uint64_t revision = 0,
-    const std::vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *objects = nullptr) {
+    const std::vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *objects = nullptr,
+    bool whole = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<dfm::wire::ObjectEntry>>(*objects) : 0;
+  auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
   return dfm::wire::CreateStateSet(
       _fbb,
       kind,
       revision,
-      objects__);
+      objects__,
+      whole,
+      removed__);
 }
 
 struct StateReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
