Bound retries and cold instances for the sum of many VMs; test the dispatcher

The burst now follows the number of known VMs.

Only so many VMs send to a cold instance that each has two requests a second.

--- a/include/dragonflymoor/Recovery/RetryBudget.h
+++ b/include/dragonflymoor/Recovery/RetryBudget.h
@@ -19,6 +19,8 @@
 public:
   explicit RetryBudget(RetryBudgetOptions aOptions = {});
 
+  /// Changes how many attempts can be saved up, also for those that are saved up already.
+  void SetBurst(double aBurst);
   /// Counts a request that entered this VM; not its retries.
   void OnRequest(const ServiceId& aService);
   /// Takes one additional attempt; false when the budget is used up.
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -242,7 +242,7 @@
   std::map<ServiceId, ServiceState> services_;
   std::unordered_map<Ticket, Request> requests_;
   SplitChooser splits_;
-  std::optional<RetryBudget> retries_;
+  RetryBudget retries_;
   CrashRegistry crashes_;
   TimePoint nextSpillUpdate_;
   TimePoint nextSilenceCheck_;
--- a/lib/Recovery/RetryBudget.cpp
+++ b/lib/Recovery/RetryBudget.cpp
@@ -9,6 +9,14 @@
 {
 }
 
+void
+RetryBudget::SetBurst(double aBurst)
+{
+  options_.burst = aBurst;
+  for (auto& [service, left] : left_)
+    left = std::min(left, aBurst);
+}
+
 void
 RetryBudget::OnRequest(const ServiceId& aService)
 {
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -35,6 +35,10 @@
 constexpr double kRetryUse = 0.7;
 constexpr double kColdUse = 0.8;
 
+/// Least part of a cold instance's rate, in requests a second, that one VM takes. In a region with
+/// more VMs only some send to the instance.
+constexpr double kLeastColdPart = 2;
+
 /// A retry needs at least this part of the service's usual latency, or its answer comes too late.
 constexpr double kLeastRetryTime = 0.5;
 
@@ -125,6 +129,7 @@
   , hooks_(std::move(aHooks))
   , random_(options_.randomSeed)
   , view_(std::make_shared<FleetView>())
+  , retries_({ .perRequest = kRetryUse * options_.retryRatio, .burst = 1 })
   , crashes_(kCrashOptions, random_.Next())
 {
 }
@@ -158,25 +163,30 @@
     return 0;
   // VMs of the instance's region divide its rate; a VM elsewhere sends to it only when it has no
   // other choice, and takes the part that it would have if all VMs did.
+  const double rate = kColdUse * service->second.coldRequestsPerSecond;
+  const bool own = options_.region == aInstance.region;
+  const uint64_t ownWeight = RendezvousWeight(aInstance.id.Value(), options_.self.Value());
   size_t sharers = 0;
+  size_t heavier = 0;
   for (const Vm& vm : view_->knownVms) {
-    if (options_.region != aInstance.region || vm.region == aInstance.region)
-      ++sharers;
+    if (own && vm.region != aInstance.region)
+      continue;
+    ++sharers;
+    heavier += RendezvousWeight(aInstance.id.Value(), vm.id.Value()) > ownWeight ? 1 : 0;
   }
-  return kColdUse * service->second.coldRequestsPerSecond /
-         static_cast<double>(std::max<size_t>(sharers, 1));
+  // Each sharer may save up one request, so that many of them with a small part would pass the rate
+  // together.
+  const auto most = static_cast<size_t>(std::max(1.0, rate / kLeastColdPart));
+  sharers = std::clamp<size_t>(sharers, 1, most);
+  return heavier < sharers ? rate / static_cast<double>(sharers) : 0;
 }
 
 void
 Dispatcher::OnFleet(TimePoint aNow, std::shared_ptr<const FleetView> aView)
 {
   view_ = std::move(aView);
-  if (!retries_) {
-    const auto vms = static_cast<double>(std::max<size_t>(view_->knownVms.size(), 1));
-    retries_.emplace(
-      RetryBudgetOptions{ .perRequest = kRetryUse * options_.retryRatio,
-                          .burst = std::max(1.0, kRetryUse * options_.retrySlack / vms) });
-  }
+  const auto vms = static_cast<double>(std::max<size_t>(view_->knownVms.size(), 1));
+  retries_.SetBurst(std::max(1.0, kRetryUse * options_.retrySlack / vms));
 
   std::map<BackendId, std::unique_ptr<InstanceTracker>> previous = std::move(instances_);
   instances_.clear();
@@ -211,8 +221,7 @@
   request.service = splits_.Choose(*request.spec.route);
   const bool sticky = request.spec.route->sticky && request.spec.affinity;
   request.key = sticky ? *request.spec.affinity : random_.Next();
-  if (retries_)
-    retries_->OnRequest(request.service);
+  retries_.OnRequest(request.service);
   Request& stored = requests_.insert_or_assign(aTicket, std::move(request)).first->second;
   if (crashes_.IsBlocked(aNow, {}, stored.spec.fingerprint)) {
     Refuse(aNow, aTicket, RefusalReason::Quarantine);
@@ -501,7 +510,7 @@
     return true; // No instance got anything: the first one is still to come.
   if (!route.idempotent && aReport.kind != Kind::NotExecuted)
     return false;
-  return aRequest.attempts < route.maxAttempts && retries_ && retries_->TryTake(aRequest.service);
+  return aRequest.attempts < route.maxAttempts && retries_.TryTake(aRequest.service);
 }
 
 Verdict
--- /dev/null
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -0,0 +1,350 @@
+#include "DispatcherFixture.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace dfm;
+using namespace dfm::test;
+using Kind = AttemptEndReport::Kind;
+
+/// A request went to an instance that leaves, is evacuated, or serves another region than the
+/// route's homes.
+Test(Dispatcher, UsesOnlyInstancesThatMayBeUsed)
+{
+  struct Case
+  {
+    std::vector<InstanceText> instances;
+    std::set<std::string> evacuated;
+    std::vector<RegionId> homes;
+    std::string expected; ///< Empty when the request must not start.
+  };
+  static const Case kCases[] = {
+    { .instances = { { .id = "i-1", .draining = true }, { .id = "i-2" } }, .expected = "i-2" },
+    { .instances = { { .id = "i-1" }, { .id = "i-2", .domain = "north-b" } },
+      .evacuated = { "north-a" },
+      .expected = "i-2" },
+    { .instances = { { .id = "i-1" }, { .id = "i-2", .domain = "south-a" } },
+      .homes = { RegionId("south") },
+      .expected = "i-2" },
+    { .instances = { { .id = "i-1", .domain = "south-a" } },
+      .homes = { RegionId("north") },
+      .expected = "" },
+    { .instances = { { .id = "i-1", .domain = "south-a" } }, .expected = "i-1" },
+    { .instances = { { .id = "i-1", .draining = true } }, .expected = "" },
+  };
+  for (const Case& dispatchCase : kCases) {
+    DispatcherFixture fixture;
+    fixture.SetFleet(dispatchCase.instances, dispatchCase.evacuated);
+    for (uint64_t key = 0; key < 4; ++key) {
+      const Ticket ticket = fixture.Submit({ .homes = dispatchCase.homes }, key);
+      if (!dispatchCase.expected.empty())
+        fixture.End(ticket, Kind::Answered, 200);
+    }
+    fixture.Advance(300ms);
+    cr_assert(fixture.started.size() == (dispatchCase.expected.empty() ? 0 : 4));
+    cr_assert(fixture.StartedAt(dispatchCase.expected) == fixture.started.size());
+  }
+}
+
+/// Requests beyond the known slots of all VMs were sent and waited at the instance.
+Test(Dispatcher, CountsRequestsOfOtherVms)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1", .slots = 2 } });
+  const Ticket first = fixture.Submit({}, 1);
+  const auto load = fixture.dispatcher.OwnLoad();
+  cr_assert(load.size() == 1 && load[0].inFlight == 1);
+  fixture.dispatcher.OnPeerLoad(fixture.now, VmId("vm-9"), load);
+  fixture.Submit({}, 2);
+  cr_assert(fixture.started.size() == 1);
+  fixture.End(first, Kind::Answered, 200);
+  cr_assert(fixture.started.size() == 2);
+}
+
+/// A request that waited in vain was held until its deadline instead of refused.
+Test(Dispatcher, RefusesEarlyWithTimeToComeBack)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1", .slots = 1 } });
+  fixture.Submit({}, 1);
+  const Ticket waiting = fixture.Submit({}, 2);
+  fixture.Advance(110ms);
+  cr_assert(fixture.refused.contains(waiting));
+  cr_assert(fixture.refused[waiting].reason == RefusalReason::Overload);
+  cr_assert(fixture.refused[waiting].retryAfter > Duration{});
+}
+
+/// Among waiting requests a less urgent one got the free slot.
+Test(Dispatcher, ServesUrgentRequestsFirst)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1", .slots = 1 } });
+  const Ticket running = fixture.Submit({}, 1);
+  const Ticket bulk = fixture.Submit({ .priority = 2 }, 2);
+  const Ticket urgent = fixture.Submit({ .priority = 0 }, 3);
+  fixture.End(running, Kind::Answered, 200);
+  cr_assert(fixture.running.contains(urgent));
+  cr_assert(not fixture.running.contains(bulk));
+}
+
+/// What follows the end of an attempt. A non-idempotent request ran twice after a broken
+/// connection, or was refused as "not run" although it may have run.
+Test(Dispatcher, DecidesWhatFollowsAnAttempt)
+{
+  struct Case
+  {
+    bool idempotent;
+    Kind kind;
+    unsigned status;
+    Verdict expected;
+  };
+  static const Case kCases[] = {
+    { true, Kind::Answered, 200, Verdict::Deliver },
+    { true, Kind::Answered, 404, Verdict::Deliver },
+    { true, Kind::Answered, 500, Verdict::Retry },
+    { true, Kind::Broken, 0, Verdict::Retry },
+    { true, Kind::NotExecuted, 503, Verdict::Retry },
+    { true, Kind::NotSent, 0, Verdict::Retry },
+    { true, Kind::Abandoned, 0, Verdict::Retry },
+    { false, Kind::Answered, 500, Verdict::Deliver },
+    { false, Kind::Broken, 0, Verdict::Fail },
+    { false, Kind::TimedOut, 0, Verdict::Fail },
+    { false, Kind::NotExecuted, 503, Verdict::Retry },
+    { false, Kind::NotSent, 0, Verdict::Retry },
+  };
+  for (const Case& endCase : kCases) {
+    DispatcherFixture fixture;
+    fixture.SetFleet({ { .id = "i-1" }, { .id = "i-2" } });
+    const Ticket ticket = fixture.Submit({ .idempotent = endCase.idempotent }, 1);
+    cr_assert(fixture.End(ticket, endCase.kind, endCase.status) == endCase.expected);
+    const bool again = endCase.expected == Verdict::Retry;
+    cr_assert(fixture.started.size() == (again ? 2 : 1));
+    if (again)
+      cr_assert(fixture.started[0].instance != fixture.started[1].instance);
+  }
+}
+
+/// A request was sent to more instances than its route allows.
+Test(Dispatcher, KeepsToTheAttemptsOfTheRoute)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1" }, { .id = "i-2" }, { .id = "i-3" } });
+  const Ticket ticket = fixture.Submit({ .maxAttempts = 2 }, 1);
+  cr_assert(fixture.End(ticket, Kind::Broken) == Verdict::Retry);
+  cr_assert(fixture.End(ticket, Kind::Broken) == Verdict::Fail);
+  const Ticket order = fixture.Submit({ .idempotent = false, .maxAttempts = 2 }, 1);
+  cr_assert(fixture.End(order, Kind::NotExecuted, 503) == Verdict::Retry);
+  cr_assert(fixture.End(order, Kind::NotExecuted, 503) == Verdict::Refuse);
+}
+
+/// The repeats of one VM passed its part of the budget of all VMs, whatever instances do.
+Test(Dispatcher, RepeatsStayWithinTheBudget)
+{
+  const bool holds = rc::check("repeats of one of n VMs", [] {
+    const auto vms = *rc::gen::inRange<size_t>(1, 10);
+    const auto slack = *rc::gen::inRange(10, 60);
+    const auto requests = *rc::gen::inRange(1, 200);
+    DispatcherFixture fixture(slack, vms);
+    std::vector<InstanceText> instances;
+    for (int i = 0; i < 6; ++i)
+      instances.push_back({ .id = "i-" + std::to_string(i), .slots = 400 });
+    fixture.SetFleet(instances);
+    size_t repeats = 0;
+    for (int i = 0; i < requests; ++i) {
+      const Ticket ticket = fixture.Submit({ .maxAttempts = 4 }, static_cast<uint64_t>(i));
+      while (fixture.running.contains(ticket) &&
+             fixture.End(ticket, Kind::Broken) == Verdict::Retry)
+        ++repeats;
+    }
+    const double part = std::max(1.0, slack / static_cast<double>(vms));
+    RC_ASSERT(static_cast<double>(repeats) <= 0.2 * requests + part);
+  });
+  cr_assert(holds);
+}
+
+/// A cold instance got more requests in a second than the VMs of its region may send together.
+Test(Dispatcher, ColdInstanceGetsItsRateOnly)
+{
+  const bool holds = rc::check("requests of one of n VMs to a cold instance", [] {
+    const auto vms = *rc::gen::inRange<size_t>(1, 6);
+    const auto perTick = *rc::gen::inRange(1, 8);
+    DispatcherFixture fixture(100, vms);
+    fixture.SetFleet({ { .id = "i-1", .slots = 1000, .coldFor = 10s } });
+    size_t inSecond = 0;
+    for (int tick = 0; tick < 100; ++tick) {
+      for (int i = 0; i < perTick; ++i)
+        fixture.Submit({}, static_cast<uint64_t>(tick * 10 + i));
+      fixture.Advance(10ms);
+    }
+    inSecond = fixture.started.size();
+    // 20 a second for all VMs; one token may have been saved up.
+    RC_ASSERT(static_cast<double>(inSecond) <= 20.0 / static_cast<double>(vms) + 2);
+  });
+  cr_assert(holds);
+}
+
+/// Many VMs with a small part each saved up one request each and sent them in one second
+/// (papadakis-steno-grown, trouble-3: FAILBACK).
+Test(Dispatcher, ColdInstanceIsSharedByFewVms)
+{
+  constexpr size_t kVms = 30;
+  size_t total = 0;
+  for (size_t vm = 0; vm < kVms; ++vm) {
+    DispatcherFixture fixture(100, kVms, vm);
+    fixture.SetFleet({ { .id = "i-1", .slots = 1000, .coldFor = 20s } });
+    fixture.Advance(5s);
+    for (uint64_t i = 0; i < 100; ++i) {
+      fixture.Submit({}, i);
+      fixture.Advance(10ms);
+    }
+    total += fixture.started.size();
+  }
+  cr_assert(total > 5);
+  cr_assert(total <= 20 * 1.5);
+}
+
+/// A VM that had not yet heard of the others took the whole slack of the repeats, and kept it
+/// (papadakis-steno-grown, scale-1: BUDGET).
+Test(Dispatcher, RepeatsSavedUpShrinkWhenVmsBecomeKnown)
+{
+  DispatcherFixture fixture(60, 1);
+  std::vector<InstanceText> instances;
+  for (int i = 0; i < 6; ++i)
+    instances.push_back({ .id = "i-" + std::to_string(i), .slots = 400 });
+  fixture.SetFleet(instances);
+  fixture.Submit({}, 1);
+  fixture.SetVms(30);
+  fixture.SetFleet(instances);
+  size_t repeats = 0;
+  for (uint64_t i = 0; i < 10; ++i) {
+    const Ticket ticket = fixture.Submit({ .maxAttempts = 4 }, i);
+    while (fixture.running.contains(ticket) && fixture.End(ticket, Kind::Broken) == Verdict::Retry)
+      ++repeats;
+  }
+  cr_assert(repeats <= 4);
+}
+
+/// A request that crashed three instances was sent to a fourth one when its caller sent it again.
+Test(Dispatcher, QuarantinesARequestThatCrashesInstances)
+{
+  DispatcherFixture fixture;
+  constexpr uint64_t kPoison = 77;
+  for (int i = 0; i < 3; ++i) {
+    fixture.SetFleet({ { .id = "i-1", .born = static_cast<uint64_t>(i + 1) } });
+    const Ticket ticket = fixture.Submit({ .maxAttempts = 1 }, 1, kPoison);
+    cr_assert(fixture.End(ticket, Kind::Broken, 0, true) == Verdict::Fail);
+    // The next connect is refused: the instance is gone.
+    const Ticket next = fixture.Submit({ .maxAttempts = 1 }, 2, 1000 + i);
+    fixture.End(next, Kind::NotSent);
+    cr_assert(fixture.crashes.size() == static_cast<size_t>(i + 1));
+  }
+  fixture.SetFleet({ { .id = "i-1", .born = 9 } });
+  const Ticket again = fixture.Submit({}, 1, kPoison);
+  cr_assert(fixture.refused.contains(again));
+  cr_assert(fixture.refused[again].reason == RefusalReason::Quarantine);
+  const Ticket other = fixture.Submit({}, 1, 5);
+  cr_assert(fixture.running.contains(other));
+}
+
+/// An instance that fell silent kept getting requests, and those that may be repeated were held.
+Test(Dispatcher, ChecksASilentInstanceAndMovesItsRequests)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1" } });
+  const Ticket silent = fixture.Submit({}, 1);
+  const Ticket order = fixture.Submit({ .idempotent = false }, 2);
+  fixture.Advance(700ms);
+  cr_assert(fixture.probed.size() >= 1);
+  fixture.dispatcher.OnProbe(fixture.now, BackendId("i-1"), ProbeResult::Unreachable, {});
+  cr_assert(fixture.abandoned.size() == 1 && fixture.abandoned.contains(silent));
+  cr_assert(fixture.running.contains(order));
+  const size_t before = fixture.started.size();
+  fixture.Submit({}, 3);
+  cr_assert(fixture.started.size() == before);
+  fixture.dispatcher.OnProbe(fixture.now, BackendId("i-1"), ProbeResult::Healthy, {});
+}
+
+/// Objects of a region with two instances in each failure domain were kept at every instance, so
+/// that none stayed warm (worth 0.683 instead of 0.803 on a calm day).
+Test(Dispatcher, KeepsAnObjectAtOneInstanceOfTheFailureDomain)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1" },
+                     { .id = "i-2" },
+                     { .id = "i-3", .domain = "north-b" },
+                     { .id = "i-4", .domain = "north-b" } });
+  for (uint64_t key = 0; key < 50; ++key) {
+    std::set<std::string> served;
+    for (int i = 0; i < 3; ++i) {
+      const Ticket ticket = fixture.Submit({}, key);
+      served.insert(fixture.running.at(ticket).instance.Value());
+      fixture.End(ticket, Kind::Answered, 200);
+    }
+    cr_assert(served.size() == 1);
+    cr_assert(served.contains("i-1") || served.contains("i-2"));
+  }
+}
+
+/// A cancelled request kept its slot, or was started later.
+Test(Dispatcher, CancelledRequestLeavesNothing)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1", .slots = 1 } });
+  const Ticket running = fixture.Submit({}, 1);
+  const Ticket waiting = fixture.Submit({}, 2);
+  fixture.dispatcher.Cancel(fixture.now, waiting);
+  fixture.dispatcher.Cancel(fixture.now, running);
+  cr_assert(fixture.started.size() == 1);
+  cr_assert(fixture.dispatcher.OwnLoad().empty());
+  fixture.Submit({}, 3);
+  cr_assert(fixture.started.size() == 2);
+}
+
+/// Whatever happens, a non-idempotent request is sent again only after an end that shows that it
+/// did not run, and each request ends once.
+Test(Dispatcher, NonIdempotentRequestsRunAtMostOnce)
+{
+  const bool holds = rc::check("random ends of attempts", [] {
+    DispatcherFixture fixture;
+    std::vector<InstanceText> instances;
+    for (int i = 0; i < 4; ++i)
+      instances.push_back({ .id = "i-" + std::to_string(i), .slots = 2 });
+    fixture.SetFleet(instances);
+    std::map<Ticket, int> mayHaveRun;
+    std::set<Ticket> finished;
+    const auto steps = *rc::gen::inRange(10, 120);
+    for (int step = 0; step < steps; ++step) {
+      const auto action = *rc::gen::inRange(0, 4);
+      if (action == 0 || fixture.running.empty()) {
+        fixture.Submit({ .idempotent = false, .maxAttempts = 3 },
+                       *rc::gen::inRange<uint64_t>(0, 9));
+        continue;
+      }
+      if (action == 1) {
+        fixture.Advance(20ms);
+        continue;
+      }
+      const auto at = *rc::gen::inRange<size_t>(0, fixture.running.size());
+      const Ticket ticket = std::next(fixture.running.begin(), static_cast<ptrdiff_t>(at))->first;
+      const Kind kind = *rc::gen::element(
+        Kind::Answered, Kind::NotExecuted, Kind::NotSent, Kind::Broken, Kind::TimedOut);
+      if (kind != Kind::NotExecuted && kind != Kind::NotSent)
+        ++mayHaveRun[ticket];
+      const Verdict verdict = fixture.End(ticket, kind, kind == Kind::Answered ? 200 : 0);
+      RC_ASSERT(mayHaveRun[ticket] <= 1);
+      RC_ASSERT(!(verdict == Verdict::Retry && mayHaveRun[ticket] > 0));
+      RC_ASSERT(!(verdict == Verdict::Refuse && mayHaveRun[ticket] > 0));
+      if (verdict != Verdict::Retry)
+        RC_ASSERT(finished.insert(ticket).second);
+    }
+    for (const auto& [ticket, refusal] : fixture.refused)
+      RC_ASSERT(mayHaveRun[ticket] == 0 && !finished.contains(ticket));
+  });
+  cr_assert(holds);
+}
+
+} // namespace
--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -20,14 +20,14 @@
          return tl::unexpected(Findings{ { "manifest", "is invalid" } });
        return Manifest{ .version = std::stoull(std::string(aText)) };
      },
-      .instance = [](const std::string& aName,
-                     std::string_view aText,
-                     TimePoint) -> Checked<Instance> {
+      .instance =
+        [](const std::string& aName, std::string_view aText, TimePoint) -> Checked<Instance> {
         if (aText == "invalid")
           return tl::unexpected(Findings{ { aName, "is invalid" } });
         return Instance{ .id = BackendId(aName), .draining = aText == "draining" };
       } },
-    { .manifestChanged = [this](const Manifest& aManifest) { versions.push_back(aManifest.version); },
+    { .manifestChanged =
+        [this](const Manifest& aManifest) { versions.push_back(aManifest.version); },
       .rejected = [this](const Findings&) { ++rejections; },
       .instanceChanged = [](const Instance&, std::string_view) {} }
   };
--- /dev/null
+++ b/unittests/Steering/ManifestTest.cpp
@@ -0,0 +1,137 @@
+#include "dragonflymoor/Steering/Manifest.h"
+#include "dragonflymoor/Steering/Directory.h"
+#include "dragonflymoor/Steering/PeerMessages.h"
+#include "dragonflymoor/Steering/SplitChooser.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <map>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace dfm;
+
+std::shared_ptr<const RouteIndex>
+Index(std::vector<Route> aRoutes)
+{
+  auto manifest = std::make_shared<Manifest>();
+  manifest->routes = std::move(aRoutes);
+  return std::make_shared<const RouteIndex>(manifest);
+}
+
+/// A request was handled by a shorter prefix, or by a route of another host.
+Test(RouteIndex, FindsTheLongestPrefixOfTheHost)
+{
+  const auto index = Index({ { .name = "all", .host = "a.example", .pathPrefix = "/" },
+                             { .name = "one", .host = "a.example", .pathPrefix = "/one/" },
+                             { .name = "two", .host = "A.example", .pathPrefix = "/one/two/" },
+                             { .name = "other", .host = "b.example", .pathPrefix = "/one/" } });
+  struct Case
+  {
+    const char* host;
+    const char* path;
+    const char* route; ///< Empty: none.
+  };
+  static const Case kCases[] = {
+    { "a.example", "/x", "all" },
+    { "a.example", "/one/x", "one" },
+    { "a.example", "/one/two/x", "two" },
+    { "a.example", "/one", "all" },
+    { "a.example:8080", "/one/x", "one" },
+    { "A.EXAMPLE", "/one/two/", "two" },
+    { "b.example", "/x", "" },
+    { "c.example", "/one/x", "" },
+  };
+  for (const Case& routeCase : kCases) {
+    const Route* route = index->Find(routeCase.host, routeCase.path);
+    const std::string found = route == nullptr ? "" : route->name;
+    cr_assert(found == routeCase.route);
+  }
+}
+
+/// A part of a split got more or less than its weight.
+Test(SplitChooser, GivesEachPartItsWeight)
+{
+  const bool holds = rc::check("random weights", [] {
+    const auto weights =
+      *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100)));
+    Route route{ .name = "r" };
+    double total = 0;
+    for (size_t i = 0; i < weights.size(); ++i) {
+      route.parts.push_back({ .service = ServiceId("s" + std::to_string(i)),
+                              .weight = static_cast<double>(weights[i]) });
+      total += weights[i];
+    }
+    SplitChooser chooser;
+    std::map<ServiceId, int> counts;
+    constexpr int kRequests = 500;
+    for (int i = 0; i < kRequests; ++i)
+      ++counts[chooser.Choose(route)];
+    for (const SplitPart& part : route.parts)
+      RC_ASSERT(std::abs(counts[part.service] - kRequests * part.weight / total) <=
+                static_cast<double>(weights.size()));
+  });
+  cr_assert(holds);
+}
+
+/// Callers were sent to a VM of another region although their own has one, or outside the homes.
+Test(Directory, NamesVmsOfTheRegionOrOfTheHomes)
+{
+  FleetView view;
+  view.routes = Index({ { .name = "r",
+                          .host = "home.example",
+                          .pathPrefix = "/",
+                          .homeRegions = { RegionId("east") } } });
+  const auto add = [&view](const char* aRegion, uint16_t aPort) {
+    view.usableVms.push_back({ .region = RegionId(aRegion), .callers = { "10.0.0.1", aPort } });
+  };
+  add("north", 1);
+  add("north", 2);
+  add("east", 3);
+  add("west", 4);
+  Random random(1);
+  const auto ports = [&](const char* aHost, const char* aRegion, size_t aMost) {
+    std::set<uint16_t> result;
+    for (const Endpoint& vm :
+         ResolveVms(view, { .host = aHost, .region = RegionId(aRegion) }, aMost, random))
+      result.insert(vm.port);
+    return result;
+  };
+  const std::set<uint16_t> ownRegion{ 1, 2 };
+  const std::set<uint16_t> homeRegion{ 3 };
+  cr_assert(ports("any.example", "north", 64) == ownRegion);
+  cr_assert(ports("home.example", "south", 64) == homeRegion);
+  cr_assert(ports("any.example", "south", 64).size() == 4);
+  cr_assert(ports("any.example", "south", 2).size() == 2);
+}
+
+/// A message between VMs lost a field, or malformed bytes were read as a message.
+Test(PeerMessages, SurviveTheWire)
+{
+  const PeerMessage kMessages[] = {
+    PeerLoad{ .loads = { { .instance = 7, .inFlight = 3 }, { .instance = 9, .inFlight = 1 } } },
+    PeerCrash{ .reportId = 5, .fingerprint = 6 },
+    StateRequest{ .revisions = { 1, 2, 3 } },
+    StateReply{ .storeSteady = true,
+                .kinds = { { .kind = ObjectKind::Instances,
+                             .set = { .revision = 9, .objects = { { "i-1", "{}" } } },
+                             .whole = false,
+                             .removed = { "i-2" } } } },
+  };
+  for (const PeerMessage& message : kMessages) {
+    const std::string bytes = EncodePeer(VmId("vm-1"), message);
+    const auto decoded = DecodePeer(bytes);
+    cr_assert(decoded.has_value());
+    cr_assert(decoded->sender == VmId("vm-1") && decoded->message == message);
+    for (size_t size = 0; size < bytes.size(); ++size)
+      static_cast<void>(DecodePeer(std::string_view(bytes).substr(0, size)));
+  }
+  const bool holds =
+    rc::check("random bytes are an error or a message",
+              [](const std::string& aBytes) { static_cast<void>(DecodePeer(aBytes)); });
+  cr_assert(holds);
+  cr_assert(not DecodePeer("nonsense").has_value());
+}
+
+} // namespace
