--- a/include/dragonflymoor/Gateway/CallerFront.h
+++ b/include/dragonflymoor/Gateway/CallerFront.h
@@ -65,6 +65,7 @@
   std::shared_ptr<Answer> OwnAnswer(http::status aStatus,
                                     std::string_view aReason,
                                     const Request& aRequest) const;
+  void LogRefusal(const Request& aRequest) const;
   void LogAttempt(const Request& aRequest,
                   const InstanceAttempt& aAttempt,
                   const InstanceExchange& aResult,
--- a/include/dragonflymoor/Metrics/Metrics.h
+++ b/include/dragonflymoor/Metrics/Metrics.h
@@ -27,6 +27,12 @@
                 double aValue,
                 const std::map<std::string, std::string>& aLabels = {});
 
+  /// Adds aSeconds to the histogram dragonflymoor_<name>_seconds of one value of the label.
+  void Observe(std::string_view aName,
+               std::string_view aLabel,
+               std::string_view aLabelValue,
+               double aSeconds);
+
   /// All metrics in the text format of Prometheus.
   std::string Text() const;
 
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -90,7 +90,13 @@
 {
   RefusalReason reason = RefusalReason::Overload;
   Duration retryAfter{};
+  // For the log: what the decision rested on.
   Duration waited{};
+  ServiceId service;
+  unsigned instances = 0; ///< Usable ones of the service.
+  unsigned slots = 0;     ///< Of the usable instances.
+  unsigned busy = 0;      ///< Known requests of all VMs at them.
+  size_t waiting = 0;     ///< Requests for the service that wait here.
 };
 
 /// What follows an attempt.
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -185,6 +185,11 @@
     const bool keep = answer->keep_alive();
     auto [error, bytes] = co_await http::async_write(aConnection->socket, *answer, kAwaitTuple);
     requests_.erase(request->ticket);
+    if (request->route != nullptr)
+      metrics_.Observe("request",
+                       "route",
+                       request->route->name,
+                       ToSeconds(ReadClocks().monotonic - request->arrived));
     aConnection->Enter(Connection::Phase::Idle);
     if (error || !keep) {
       // Unread bytes would turn the close into a reset that may overtake the answer.
@@ -370,6 +375,7 @@
     if (request.callerGone)
       co_return nullptr;
     if (request.refusal) {
+      LogRefusal(request);
       auto answer = OwnAnswer(
         http::status::service_unavailable, dfm::ToString(request.refusal->reason), request);
       answer->set(http::field::retry_after,
@@ -432,6 +438,9 @@
                         Verdict aVerdict) const
 {
   metrics_.Count(fmt::format("attempts-{}", dfm::ToString(aResult.report.kind)));
+  metrics_.Observe(
+    "attempt", "service", aAttempt.service.Value(), ToSeconds(aResult.report.latency));
+  metrics_.Observe("slot_wait", "service", aAttempt.service.Value(), ToSeconds(aAttempt.waited));
   Log(LogLevel::Info,
       kComponent,
       "attempt",
@@ -456,6 +465,27 @@
         { "verdict", std::string(ToString(aVerdict)) } });
 }
 
+void
+CallerFront::LogRefusal(const Request& aRequest) const
+{
+  const RequestRefusal& refusal = *aRequest.refusal;
+  Log(LogLevel::Info,
+      kComponent,
+      "refused",
+      { { "request", aRequest.head.requestId },
+        { "route", aRequest.route->name },
+        { "service", refusal.service.Value() },
+        { "reason", std::string(dfm::ToString(refusal.reason)) },
+        { "manifest", std::to_string(aRequest.routes->GetManifest().version) },
+        { "instances_revision", std::to_string(view_->instancesRevision) },
+        { "instances", std::to_string(refusal.instances) },
+        { "slots", std::to_string(refusal.slots) },
+        { "busy", std::to_string(refusal.busy) },
+        { "waiting", std::to_string(refusal.waiting) },
+        { "waited_ms", fmt::format("{:.1f}", Milliseconds(refusal.waited)) },
+        { "retry_after_ms", fmt::format("{:.1f}", Milliseconds(refusal.retryAfter)) } });
+}
+
 void
 CallerFront::Start(const InstanceAttempt& aAttempt)
 {
--- a/lib/Metrics/Metrics.cpp
+++ b/lib/Metrics/Metrics.cpp
@@ -3,6 +3,7 @@
 #include <mutex>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 #include <sstream>
@@ -26,6 +27,15 @@
 
 } // namespace
 
+namespace {
+
+/// Upper bounds of the latency histograms in seconds: dense where the goals of requests lie.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds{ 0.01, 0.025, 0.05, 0.1, 0.15, 0.2,
+                                                              0.3,  0.4,   0.6,  0.8, 1,    1.5,
+                                                              2,    3,     5,    10 };
+
+} // namespace
+
 struct Metrics::Impl
 {
   prometheus::Registry registry;
@@ -33,6 +43,9 @@
   /// Looked up by every count; the registry's own look-up hashes all labels each time.
   std::map<std::pair<std::string, Reason>, prometheus::Counter*, std::less<>> counters;
 
+  /// By name and value of the label.
+  std::map<std::pair<std::string, std::string>, prometheus::Histogram*, std::less<>> histograms;
+
   prometheus::Counter& CounterFor(std::string_view aName, Reason aReason)
   {
     const std::scoped_lock lock(mutex);
@@ -72,6 +85,24 @@
     .Set(aValue);
 }
 
+void
+Metrics::Observe(std::string_view aName,
+                 std::string_view aLabel,
+                 std::string_view aLabelValue,
+                 double aSeconds)
+{
+  const std::scoped_lock lock(impl_->mutex);
+  prometheus::Histogram*& histogram =
+    impl_->histograms[{ std::string(aName), std::string(aLabelValue) }];
+  if (histogram == nullptr) {
+    histogram = &prometheus::BuildHistogram()
+                   .Name(MetricName(aName, "_seconds"))
+                   .Register(impl_->registry)
+                   .Add({ { std::string(aLabel), std::string(aLabelValue) } }, kLatencyBounds);
+  }
+  histogram->Observe(aSeconds);
+}
+
 std::string
 Metrics::Text() const
 {
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -385,9 +385,19 @@
 {
   const auto found = requests_.find(aTicket);
   assert(found != requests_.end() && "only a known request is refused");
-  const RequestRefusal refusal{ .reason = aReason,
-                                .retryAfter = RetryAfter(),
-                                .waited = aNow - found->second.spec.arrived };
+  const ServiceState& state = StateOf(found->second.service);
+  RequestRefusal refusal{ .reason = aReason,
+                          .retryAfter = RetryAfter(),
+                          .waited = aNow - found->second.spec.arrived,
+                          .service = found->second.service,
+                          .waiting = state.queue.size() };
+  for (const auto& candidate : state.candidates) {
+    if (candidate.state->WhyUnusable(aNow) != Unusable::No)
+      continue;
+    ++refusal.instances;
+    refusal.slots += candidate.state->Spec().slots;
+    refusal.busy += candidate.state->Busy(aNow);
+  }
   requests_.erase(found);
   hooks_.refuse(aTicket, refusal);
 }
