--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -71,7 +71,7 @@
   FleetKeeper(ObjectDecoders aDecoders, FleetKeeperHooks aHooks);
 
   /// The whole of one kind. An older revision than the known one is ignored.
-  void OnSet(TimePoint aNow, ObjectKind aKind, ObjectSet aSet);
+  void OnSet(TimePoint aNow, ObjectKind aKind, const ObjectSet& aSet);
   void OnChanges(TimePoint aNow,
                  ObjectKind aKind,
                  uint64_t aRevision,
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -103,7 +103,7 @@
   , random_(options_.randomSeed)
   , datagrams_(
       aContext,
-      [this](Endpoint aFrom, DatagramMessage aMessage) {
+      [this](const Endpoint& aFrom, const DatagramMessage& aMessage) {
         if (membershipStarted_)
           membership_->OnDatagram(ReadClocks(), aFrom, aMessage);
       },
@@ -189,13 +189,13 @@
 asio::awaitable<bool>
 FleetSync::ListKind(ObjectKind aKind)
 {
-  auto set = co_await store_.list(aKind);
+  const auto set = co_await store_.list(aKind);
   if (!set) {
     OnStoreAnswer(aKind, set.error());
     co_return false;
   }
   OnStoreAnswer(aKind, std::nullopt);
-  keeper_.OnSet(ReadClocks().monotonic, aKind, std::move(*set));
+  keeper_.OnSet(ReadClocks().monotonic, aKind, *set);
   PublishView();
   co_return true;
 }
@@ -378,7 +378,7 @@
   auto connection = std::make_shared<FrameConnection>(
     std::move(socket),
     FrameConnection::Hooks{
-      .payload = [this, done](std::string aPayload) -> tl::expected<void, CodecError> {
+      .payload = [this, done](const std::string& aPayload) -> tl::expected<void, CodecError> {
         const auto envelope = DecodePeer(aPayload);
         if (!envelope)
           return tl::unexpected(envelope.error());
@@ -387,7 +387,7 @@
         done->cancel();
         return {};
       },
-      .closed = [done](std::string) { done->cancel(); },
+      .closed = [done](const std::string&) { done->cancel(); },
     });
   connection->Start();
   StateRequest request;
@@ -415,7 +415,7 @@
     *holder = std::make_shared<FrameConnection>(
       std::move(socket),
       FrameConnection::Hooks{
-        .payload = [this, holder](std::string aPayload) -> tl::expected<void, CodecError> {
+        .payload = [this, holder](const std::string& aPayload) -> tl::expected<void, CodecError> {
           const auto envelope = DecodePeer(aPayload);
           if (!envelope)
             return tl::unexpected(envelope.error());
@@ -427,7 +427,7 @@
             connection->Send({ .payload = EncodePeer(options_.self.id, ReplyTo(*request)) });
           return {};
         },
-        .closed = [holder](std::string) { holder->reset(); },
+        .closed = [holder](const std::string&) { holder->reset(); },
       });
     (*holder)->Start();
   }
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -686,6 +686,7 @@
     uses[options_.region].region = options_.region;
     uses[options_.region].busy += static_cast<double>(state.queue.size()) * std::max(ownVms, 1.0);
     std::vector<RegionUse> list;
+    list.reserve(uses.size());
     for (const auto& [region, use] : uses)
       list.push_back(use);
     state.spill.Update(aNow, list);
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -42,7 +42,7 @@
 }
 
 void
-FleetKeeper::OnSet(TimePoint aNow, ObjectKind aKind, ObjectSet aSet)
+FleetKeeper::OnSet(TimePoint aNow, ObjectKind aKind, const ObjectSet& aSet)
 {
   ObjectSet& known = MutableSet(aKind);
   if (aSet.revision < known.revision)
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -47,11 +47,14 @@
 Encode(FlatBufferBuilder& aBuilder, const StateReply& aReply)
 {
   std::vector<Offset<wire::StateSet>> sets;
+  sets.reserve(aReply.kinds.size());
   for (const auto& [kind, set, whole, removed] : aReply.kinds) {
     std::vector<Offset<wire::ObjectEntry>> entries;
+    entries.reserve(set.objects.size());
     for (const auto& [name, content] : set.objects)
       entries.push_back(wire::CreateObjectEntryDirect(aBuilder, name.c_str(), content.c_str()));
     std::vector<Offset<flatbuffers::String>> names;
+    names.reserve(removed.size());
     for (const std::string& name : removed)
       names.push_back(aBuilder.CreateString(name));
     sets.push_back(wire::CreateStateSetDirect(
--- a/unittests/Platform/GatewayFixture.cpp
+++ b/unittests/Platform/GatewayFixture.cpp
@@ -125,6 +125,12 @@
     throw std::runtime_error("the VM did not become ready");
 }
 
+void
+GatewayFixture::BeginStop()
+{
+  gateway_->BeginStop();
+}
+
 void
 GatewayFixture::Stop()
 {
@@ -160,7 +166,7 @@
   request.set("X-Deadline-Ms", "5000");
   request.body() = aBody;
   request.prepare_payload();
-  return Exchange(settings_.self.callers, std::move(request));
+  return Exchange(settings_.self.callers, request);
 }
 
 std::optional<Response>
@@ -168,11 +174,11 @@
 {
   Request request(http::verb::get, aTarget, 11);
   request.set(http::field::host, "vm");
-  return Exchange(aEndpoint, std::move(request));
+  return Exchange(aEndpoint, request);
 }
 
 std::optional<Response>
-Exchange(const Endpoint& aEndpoint, Request aRequest)
+Exchange(const Endpoint& aEndpoint, const Request& aRequest)
 {
   asio::io_context context;
   tcp::socket socket(context);
--- a/unittests/Platform/GatewayFixture.h
+++ b/unittests/Platform/GatewayFixture.h
@@ -41,6 +41,8 @@
   StandInStore& Store() { return store_; }
   /// Starts the VM and, when aReady, waits until it says that it is ready.
   void Start(bool aReady = true);
+  void BeginStop();
+  /// Stops and waits for the end.
   void Stop();
   /// Sends a request of a caller on a new connection; empty when no answer came.
   std::optional<Response> Send(http::verb aMethod,
@@ -62,7 +64,7 @@
 
 /// Sends aRequest on a new connection and waits for the whole answer.
 std::optional<Response>
-Exchange(const Endpoint& aEndpoint, Request aRequest);
+Exchange(const Endpoint& aEndpoint, const Request& aRequest);
 
 } // namespace dfm::test
 
--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -56,7 +56,7 @@
 }
 
 std::string
-Serialized(Response aAnswer)
+Serialized(const Response& aAnswer)
 {
   std::ostringstream stream;
   stream << aAnswer;
@@ -169,10 +169,11 @@
     reaction.answer.keep_alive(reaction.answer.keep_alive() && request.keep_alive());
     if (!reaction.answer.has_content_length() && !reaction.answer.chunked())
       reaction.answer.prepare_payload();
-    std::string bytes = Serialized(std::move(reaction.answer));
+    std::string bytes = Serialized(reaction.answer);
     if (reaction.cutAfter > 0)
       bytes.resize(std::min(bytes.size(), reaction.cutAfter));
-    bytes = reaction.rawBefore + bytes + reaction.rawAfter;
+    bytes.insert(0, reaction.rawBefore);
+    bytes += reaction.rawAfter;
     auto [writeError, written] =
       co_await asio::async_write(aSession->socket, asio::buffer(bytes), kAwaitTuple);
     if (writeError || reaction.cutAfter > 0) {
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -11,6 +11,17 @@
 using namespace dfm::test;
 using Kind = AttemptEndReport::Kind;
 
+std::vector<InstanceText>
+ManyInstances(size_t aCount, unsigned aSlots)
+{
+  std::vector<InstanceText> instances(aCount);
+  for (size_t i = 0; i < aCount; ++i) {
+    instances[i].id = "i-" + std::to_string(i);
+    instances[i].slots = aSlots;
+  }
+  return instances;
+}
+
 /// A request went to an instance that leaves, is evacuated, or serves another region than the
 /// route's homes.
 Test(Dispatcher, UsesOnlyInstancesThatMayBeUsed)
@@ -149,9 +160,7 @@
     const auto slack = *rc::gen::inRange(10, 60);
     const auto requests = *rc::gen::inRange(1, 200);
     DispatcherFixture fixture(slack, vms);
-    std::vector<InstanceText> instances;
-    for (int i = 0; i < 6; ++i)
-      instances.push_back({ .id = "i-" + std::to_string(i), .slots = 400 });
+    const auto instances = ManyInstances(6, 400);
     fixture.SetFleet(instances);
     size_t repeats = 0;
     for (int i = 0; i < requests; ++i) {
@@ -177,7 +186,7 @@
     size_t inSecond = 0;
     for (int tick = 0; tick < 100; ++tick) {
       for (int i = 0; i < perTick; ++i)
-        fixture.Submit({}, static_cast<uint64_t>(tick * 10 + i));
+        fixture.Submit({}, static_cast<uint64_t>(tick) * 10 + static_cast<uint64_t>(i));
       fixture.Advance(10ms);
     }
     inSecond = fixture.started.size();
@@ -212,9 +221,7 @@
 Test(Dispatcher, RepeatsSavedUpShrinkWhenVmsBecomeKnown)
 {
   DispatcherFixture fixture(60, 1);
-  std::vector<InstanceText> instances;
-  for (int i = 0; i < 6; ++i)
-    instances.push_back({ .id = "i-" + std::to_string(i), .slots = 400 });
+  const auto instances = ManyInstances(6, 400);
   fixture.SetFleet(instances);
   fixture.Submit({}, 1);
   fixture.SetVms(30);
@@ -310,9 +317,7 @@
 {
   const bool holds = rc::check("random ends of attempts", [] {
     DispatcherFixture fixture;
-    std::vector<InstanceText> instances;
-    for (int i = 0; i < 4; ++i)
-      instances.push_back({ .id = "i-" + std::to_string(i), .slots = 2 });
+    const auto instances = ManyInstances(4, 2);
     fixture.SetFleet(instances);
     std::map<Ticket, int> mayHaveRun;
     std::set<Ticket> finished;
--- a/unittests/Steering/ManifestTest.cpp
+++ b/unittests/Steering/ManifestTest.cpp
@@ -109,17 +109,21 @@
 /// A message between VMs lost a field, or malformed bytes were read as a message.
 Test(PeerMessages, SurviveTheWire)
 {
-  const PeerMessage kMessages[] = {
+  StateReply reply;
+  reply.storeSteady = true;
+  StateReply::Kind& kind = reply.kinds.emplace_back();
+  kind.kind = ObjectKind::Instances;
+  kind.set.revision = 9;
+  kind.set.objects["i-1"] = "{}";
+  kind.whole = false;
+  kind.removed.emplace_back("i-2");
+  const PeerMessage messages[] = {
     PeerLoad{ .loads = { { .instance = 7, .inFlight = 3 }, { .instance = 9, .inFlight = 1 } } },
     PeerCrash{ .reportId = 5, .fingerprint = 6 },
     StateRequest{ .revisions = { 1, 2, 3 } },
-    StateReply{ .storeSteady = true,
-                .kinds = { { .kind = ObjectKind::Instances,
-                             .set = { .revision = 9, .objects = { { "i-1", "{}" } } },
-                             .whole = false,
-                             .removed = { "i-2" } } } },
+    reply,
   };
-  for (const PeerMessage& message : kMessages) {
+  for (const PeerMessage& message : messages) {
     const std::string bytes = EncodePeer(VmId("vm-1"), message);
     const auto decoded = DecodePeer(bytes);
     cr_assert(decoded.has_value());
