--- a/include/dragonflymoor/Gateway/PageServer.h
+++ b/include/dragonflymoor/Gateway/PageServer.h
@@ -39,10 +39,6 @@
   tcp::acceptor acceptor_;
 };
 
-/// Opens a listening socket.
-error_code
-ListenOn(tcp::acceptor& aAcceptor, const Endpoint& aEndpoint);
-
 } // namespace dfm
 
 #endif
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -1,7 +1,7 @@
 #include "dragonflymoor/Gateway/FleetSync.h"
 
-#include "dragonflymoor/Gateway/PageServer.h"
 #include "dragonflymoor/Net/Clock.h"
+#include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Hash.h"
 #include "dragonflymoor/Support/Log.h"
 #include <algorithm>
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "dragonflymoor/Gateway/LoadExchange.h"
 #include "dragonflymoor/Gateway/PageServer.h"
 #include "dragonflymoor/Net/Clock.h"
+#include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Log.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/lib/Gateway/LoadExchange.cpp
+++ b/lib/Gateway/LoadExchange.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Gateway/LoadExchange.h"
 
+#include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Log.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -45,13 +46,7 @@
 LoadExchange::Open(const Endpoint& aListen)
 {
   port_ = aListen.port;
-  const asio::ip::udp::endpoint endpoint(ToAddress(aListen), aListen.port);
-  error_code error;
-  socket_.open(endpoint.protocol(), error);
-  if (!error)
-    socket_.bind(endpoint, error);
-  if (!error)
-    socket_.non_blocking(true, error);
+  const error_code error = OpenDatagrams(socket_, aListen);
   if (!error)
     asio::co_spawn(socket_.get_executor(), Receive(), asio::detached);
   return error;
--- a/lib/Gateway/PageServer.cpp
+++ b/lib/Gateway/PageServer.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Gateway/PageServer.h"
 
+#include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Log.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,21 +32,6 @@
   return page;
 }
 
-error_code
-ListenOn(tcp::acceptor& aAcceptor, const Endpoint& aEndpoint)
-{
-  const tcp::endpoint endpoint = ToTcp(aEndpoint);
-  error_code error;
-  aAcceptor.open(endpoint.protocol(), error);
-  if (!error)
-    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error)
-    aAcceptor.bind(endpoint, error);
-  if (!error)
-    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
-  return error;
-}
-
 PageServer::PageServer(asio::io_context& aContext, Handler aHandler)
   : context_(aContext)
   , handler_(std::move(aHandler))
--- a/lib/Net/Daemon.cpp
+++ b/lib/Net/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflymoor/Net/Clock.h"
 #include "dragonflymoor/Net/Control.h"
+#include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Net/OperatorServer.h"
 #include "dragonflymoor/Support/Log.h"
 #include <boost/asio/co_spawn.hpp>
@@ -36,21 +37,6 @@
   return (uint64_t{ device() } << 32) | device();
 }
 
-error_code
-Listen(tcp::acceptor& aAcceptor, const Endpoint& aEndpoint)
-{
-  const tcp::endpoint endpoint = ToTcp(aEndpoint);
-  error_code error;
-  aAcceptor.open(endpoint.protocol(), error);
-  if (!error)
-    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error)
-    aAcceptor.bind(endpoint, error);
-  if (!error)
-    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
-  return error;
-}
-
 Endpoint
 Advertised(const ListenSettings& aSettings, const tcp::acceptor& aAcceptor)
 {
@@ -129,7 +115,7 @@
 {
   error_code error;
   for (int i = 0; i < kPortTries; ++i) {
-    error = Listen(peers, settings.peers.listen);
+    error = ListenOn(peers, settings.peers.listen);
     if (error)
       return error;
     self.peers = Advertised(settings.peers, peers);
@@ -159,9 +145,9 @@
   self.id = settings.vm;
   self.region = settings.region;
   self.failureDomain = settings.failureDomain;
-  if (check("callers.listen", settings.callers.listen, Listen(callers, settings.callers.listen)))
+  if (check("callers.listen", settings.callers.listen, ListenOn(callers, settings.callers.listen)))
     self.callers = Advertised(settings.callers, callers);
-  check("operators", settings.operators, Listen(operators, settings.operators));
+  check("operators", settings.operators, ListenOn(operators, settings.operators));
   check("peers.listen", settings.peers.listen, BindPeers());
   return findings;
 }
--- a/lib/Net/DatagramSocket.cpp
+++ b/lib/Net/DatagramSocket.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Net/DatagramSocket.h"
 
+#include "dragonflymoor/Net/Listen.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -21,13 +22,7 @@
 error_code
 DatagramSocket::Open(const Endpoint& aListen)
 {
-  const asio::ip::udp::endpoint endpoint(ToAddress(aListen), aListen.port);
-  error_code error;
-  socket_.open(endpoint.protocol(), error);
-  if (!error)
-    socket_.bind(endpoint, error);
-  if (!error)
-    socket_.non_blocking(true, error);
+  const error_code error = OpenDatagrams(socket_, aListen);
   if (!error)
     asio::co_spawn(socket_.get_executor(), Receive(), asio::detached);
   return error;
--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Steering/InstanceTracker.h"
 
+#include "Scale.h"
 #include <algorithm>
 
 namespace dfm {
@@ -168,8 +169,7 @@
   lastHeard_ = aNow;
   failureShare_ *= 1 - kMeanWeight;
   const double weight = answers_ == 0 ? 1 : kMeanWeight;
-  meanLatency_ +=
-    Duration(static_cast<int64_t>(weight * static_cast<double>((aLatency - meanLatency_).count())));
+  meanLatency_ += Scale(aLatency - meanLatency_, weight);
   answers_ = std::min(answers_ + 1, kMinAnswers);
 }
 
--- /dev/null
+++ b/lib/Steering/Scale.h
@@ -0,0 +1,17 @@
+#ifndef DRAGONFLYMOOR_LIB_STEERING_SCALE_H
+#define DRAGONFLYMOOR_LIB_STEERING_SCALE_H
+
+#include "dragonflymoor/Support/Time.h"
+
+namespace dfm {
+
+/// aFactor times aDuration, rounded towards zero.
+inline Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
+} // namespace dfm
+
+#endif
