--- a/include/dragonflymoor/Support/Log.h
+++ b/include/dragonflymoor/Support/Log.h
@@ -35,8 +35,8 @@
     std::string_view aMessage,
     std::initializer_list<LogField> aFields = {});
 
-/// From now on Log only collects lines, up to a bound, and FlushLog writes them: no caller waits for
-/// a slow reader of standard output. Lines beyond the bound are dropped and counted.
+/// From now on Log only collects lines, up to a bound, and FlushLog writes them: no caller waits
+/// for a slow reader of standard output. Lines beyond the bound are dropped and counted.
 void
 BufferLog();
 
