--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -69,6 +69,8 @@
   StateReply ReplyTo(const StateRequest& aRequest) const;
   void OnState(const VmId& aFrom, const StateReply& aReply);
   void StartMembership();
+  /// Gives the registered VMs to membership as candidates.
+  void TellRegisteredVms();
   void PublishView();
   asio::awaitable<void> Sleep(Duration aDuration);
 
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -268,11 +268,8 @@
     co_return;
   }
   registeredVms_ = std::move(*vms);
-  std::vector<PlatformVm> list;
-  for (const Vm& vm : registeredVms_)
-    list.push_back({ .vm = vm });
   if (membershipStarted_)
-    membership_->OnVmList(ReadClocks(), list);
+    TellRegisteredVms();
 }
 
 std::vector<Vm>
@@ -494,15 +491,21 @@
 }
 
 void
-FleetSync::StartMembership()
+FleetSync::TellRegisteredVms()
 {
-  membershipStarted_ = true;
-  membership_->Start(ReadClocks());
   std::vector<PlatformVm> list;
   for (const Vm& vm : registeredVms_)
     list.push_back({ .vm = vm });
-  if (!list.empty())
-    membership_->OnVmList(ReadClocks(), list);
+  membership_->OnVmList(ReadClocks(), list);
+}
+
+void
+FleetSync::StartMembership()
+{
+  membershipStarted_ = true;
+  membership_->Start(ReadClocks());
+  if (!registeredVms_.empty())
+    TellRegisteredVms();
 }
 
 void
