Sum the load reports of other VMs as they arrive

Cause: with 77 VMs each load report (about 300 a second) cost a pass over all 342 instances, and a search of the instances for every waiting request. Small VMs (0.1 core) spent most of their processor on it.

Change: PeerLoads keeps the sums and changes only what a report changes. A waiting request keeps its ranking of the instances for 100 ms. The rate of cold instances is computed only for cold ones. Changes of the view within 50 ms are published together.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -86,6 +86,7 @@
   std::unique_ptr<Membership> membership_;
   bool membershipStarted_ = false; ///< This VM takes part only once it can serve.
   uint64_t publishedEpoch_ = 0;
+  bool viewChanged_ = false; ///< Since the view was published.
   std::array<bool, kObjectKindCount> reachable_{}; ///< The last call for each kind succeeded.
   std::vector<Vm> registeredVms_;
   /// When a VM that follows the store for this one last answered that the store is steady.
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "dragonflymoor/Recovery/RetryBudget.h"
 #include "dragonflymoor/Steering/FleetView.h"
 #include "dragonflymoor/Steering/InstanceTracker.h"
+#include "dragonflymoor/Steering/PeerLoads.h"
 #include "dragonflymoor/Steering/SpillControl.h"
 #include "dragonflymoor/Steering/SplitChooser.h"
 #include "dragonflymoor/Support/Random.h"
@@ -108,15 +109,6 @@
   Fail,    ///< It may have run: the caller learns only that it failed.
 };
 
-/// Requests of this VM at one instance, as told to other VMs.
-struct InstanceLoad
-{
-  uint32_t instance = 0; ///< Low half of the hash of the instance's id.
-  uint16_t inFlight = 0;
-
-  auto operator<=>(const InstanceLoad&) const = default;
-};
-
 struct DispatcherOptions
 {
   VmId self;
@@ -177,6 +169,34 @@
   Duration RetryAfter();
 
 private:
+  /// One instance of a service.
+  struct Candidate
+  {
+    InstanceTracker* state = nullptr;
+    uint64_t hash = 0;   ///< Of the instance's id, for rendezvous hashing.
+    unsigned domain = 0; ///< Index of its failure domain in the region.
+  };
+  /// Instances of one service in one region.
+  struct RegionCandidates
+  {
+    std::vector<Candidate> list;
+    std::vector<FailureDomainId> domains; ///< By index.
+  };
+  struct Ranked
+  {
+    InstanceTracker* instance = nullptr;
+    uint64_t weight = 0; ///< Of the instance for the request's key.
+    unsigned domain = 0; ///< Index of its failure domain in the region.
+    bool degraded = false;
+    bool home = false; ///< One of the instances that keep the object warm.
+    bool far = false;  ///< In another failure domain, to which bytes are priced.
+  };
+  /// The instances of one region in the order in which a request prefers them.
+  struct Ranking
+  {
+    TimePoint at;
+    std::vector<Ranked> order;
+  };
   struct Request
   {
     RequestSpec spec;
@@ -187,41 +207,32 @@
     std::optional<BackendId> at; ///< The instance of the attempt in flight.
     /// An earlier attempt may have run the request.
     bool mayHaveRun = false;
+    /// Kept while the request waits; cleared when the fleet or what it tried changes.
+    std::map<RegionId, Ranking> rankings;
   };
   struct ServiceState
   {
-    struct Candidate
-    {
-      InstanceTracker* state = nullptr;
-      uint64_t hash = 0; ///< Of the instance's id, for rendezvous hashing.
-    };
-    std::vector<Candidate> candidates;
+    std::map<RegionId, RegionCandidates> regions;
     std::list<Ticket> queue;   ///< In order of arrival.
     Duration typicalLatency{}; ///< Moving mean of answers of all instances.
     SpillControl spill;
   };
   ServiceState& StateOf(const ServiceId& aService);
   void Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest);
-  struct Ranked
-  {
-    InstanceTracker* instance = nullptr;
-    uint64_t weight = 0; ///< Of the instance for the request's key.
-    bool degraded = false;
-    bool home = false; ///< One of the instances that keep the object warm.
-    bool far = false;  ///< In another failure domain, to which bytes are priced.
-  };
 
   /// Marks the instances that keep an object warm, out of all usable ones of a region in order of
   /// weight.
-  static void MarkHomes(std::vector<Ranked>& aRanked);
-  InstanceTracker* Choose(TimePoint aNow,
-                          const Request& aRequest,
-                          const ServiceState& aState) const;
+  static void MarkHomes(std::vector<Ranked>& aRanked, size_t aDomains);
+  std::vector<Ranked> Rank(TimePoint aNow,
+                           const Request& aRequest,
+                           const ServiceState& aState,
+                           const RegionCandidates& aCandidates) const;
+  InstanceTracker* Choose(TimePoint aNow, Request& aRequest, const ServiceState& aState) const;
   InstanceTracker* ChooseIn(TimePoint aNow,
-                            const Request& aRequest,
+                            Request& aRequest,
                             const ServiceState& aState,
                             const RegionId& aRegion) const;
-  bool HasUsable(TimePoint aNow, const ServiceState& aState, const RegionId& aRegion) const;
+  static bool HasUsable(TimePoint aNow, const RegionCandidates& aCandidates);
   bool TryStart(TimePoint aNow, Ticket aTicket, Request& aRequest);
   std::vector<Ticket> WaitingOrder(TimePoint aNow, const ServiceState& aState) const;
   void Pump(TimePoint aNow, const ServiceId& aService);
@@ -230,6 +241,10 @@
   void CheckSilence(TimePoint aNow);
   void CheckProbes(TimePoint aNow);
   void UpdateSpill(TimePoint aNow);
+  static void AddCandidate(RegionCandidates& aCandidates, InstanceTracker& aInstance);
+  static bool HasFreeSlot(TimePoint aNow, const ServiceState& aState);
+  /// Hands the sums of the other VMs' requests to the trackers.
+  void ApplyPeerLoads(const std::vector<uint32_t>& aInstances);
   void CountCrashes(TimePoint aNow, InstanceTracker& aInstance);
   void Abandon(const BackendId& aInstance);
   bool MayRetry(TimePoint aNow, const Request& aRequest, const AttemptEndReport& aReport);
@@ -245,6 +260,7 @@
   std::shared_ptr<const FleetView> view_;
   std::map<BackendId, std::unique_ptr<InstanceTracker>> instances_;
   std::unordered_map<uint32_t, InstanceTracker*> byHash_;
+  PeerLoads peerLoads_;
   std::map<ServiceId, ServiceState> services_;
   std::unordered_map<Ticket, Request> requests_;
   SplitChooser splits_;
--- a/include/dragonflymoor/Steering/InstanceTracker.h
+++ b/include/dragonflymoor/Steering/InstanceTracker.h
@@ -4,7 +4,6 @@
 #include "dragonflymoor/Shares/TokenBucket.h"
 #include "dragonflymoor/Steering/FleetView.h"
 #include "dragonflymoor/Support/Time.h"
-#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -56,7 +55,7 @@
   /// Slots that no known request uses; negative when it is overfull.
   int FreeSlots(TimePoint aNow) const;
   /// Requests of all VMs that are known to be at the instance.
-  unsigned Busy(TimePoint aNow) const;
+  unsigned Busy() const { return inFlight_ + peerInFlight_; }
   unsigned OwnInFlight() const { return inFlight_; }
   /// A poor choice while others have free slots: it fails or sheds often, or is far slower than
   /// aTypical. Now and then it is false for one request, so that a recovery is noticed.
@@ -83,24 +82,18 @@
   std::vector<uint64_t> TakeCrashSuspects(TimePoint aNow);
   void AddCrashSuspect(TimePoint aNow, uint64_t aFingerprint);
 
-  /// Requests of another VM at this instance.
-  void OnPeerLoad(TimePoint aNow, const VmId& aVm, unsigned aInFlight);
+  /// Requests of all other VMs at this instance.
+  void SetPeerInFlight(unsigned aInFlight) { peerInFlight_ = aInFlight; }
 
   /// Time of the last complete answer or start; for the detection of silence.
   TimePoint LastHeard() const { return lastHeard_; }
   Duration MeanLatency() const { return meanLatency_; }
 
 private:
-  struct PeerLoad
-  {
-    unsigned inFlight = 0;
-    TimePoint at;
-  };
-
   Instance spec_;
   bool evacuated_ = false;
   unsigned inFlight_ = 0;
-  std::map<VmId, PeerLoad> peers_;
+  unsigned peerInFlight_ = 0;
   TokenBucket cold_;
   double coldRate_ = 0;
   std::optional<TimePoint> coldFilledAt_;
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -46,6 +46,8 @@
 /// VMs that were registered are listed this often; changes are heard from the other VMs sooner.
 constexpr Duration kListVmsPeriod = 10s;
 
+/// Period of the control thread's clock. Changes of the view within it are published together: each
+/// costs the traffic thread a pass over all instances.
 constexpr Duration kTickPeriod = 50ms;
 
 /// Probes of membership: a silent VM is suspected after one period and dead after five more.
@@ -196,7 +198,7 @@
   }
   OnStoreAnswer(aKind, std::nullopt);
   keeper_.OnSet(ReadClocks().monotonic, aKind, *set);
-  PublishView();
+  viewChanged_ = true;
   co_return true;
 }
 
@@ -219,7 +221,7 @@
         keeper_.OnChanges(ReadClocks().monotonic, aKind, changes->revision, changes->changes);
         wait = kFirstRetryWait;
         if (!changes->changes.empty()) {
-          PublishView();
+          viewChanged_ = true;
           co_await Sleep(PauseBetweenWatches());
         }
         continue;
@@ -464,11 +466,10 @@
   keeper_.OnStoreElsewhere(now, aReply.storeSteady);
   if (aReply.storeSteady)
     servedAt_ = now;
-  bool changed = false;
   for (const StateReply::Kind& kind : aReply.kinds) {
     if (kind.whole) {
       keeper_.OnSet(now, kind.kind, kind.set);
-      changed = true;
+      viewChanged_ = true;
     } else {
       std::vector<ObjectChange> changes;
       for (const auto& [name, content] : kind.set.objects)
@@ -476,7 +477,7 @@
       for (const std::string& name : kind.removed)
         changes.push_back({ .name = name });
       keeper_.OnChanges(now, kind.kind, kind.set.revision, changes);
-      changed = changed || !changes.empty();
+      viewChanged_ = viewChanged_ || !changes.empty();
     }
     Log(LogLevel::Debug,
         kComponent,
@@ -486,8 +487,6 @@
           { "revision", std::to_string(kind.set.revision) },
           { "whole", kind.whole ? "1" : "0" } });
   }
-  if (changed)
-    PublishView();
 }
 
 void
@@ -523,6 +522,7 @@
     publishedEpoch_ = membership_->Epoch();
   }
   view->knownVms.push_back(options_.self);
+  viewChanged_ = false;
   publish_(std::move(view));
 }
 
@@ -532,10 +532,11 @@
   for (;;) {
     co_await Sleep(kTickPeriod);
     const Now now = ReadClocks();
-    const bool removed = keeper_.OnTick(now.monotonic);
+    if (keeper_.OnTick(now.monotonic))
+      viewChanged_ = true;
     if (membershipStarted_)
       membership_->OnTick(now);
-    if (removed || (membershipStarted_ && membership_->Epoch() != publishedEpoch_))
+    if (viewChanged_ || (membershipStarted_ && membership_->Epoch() != publishedEpoch_))
       PublishView();
   }
 }
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -131,7 +131,9 @@
   instances_.clear();
   byHash_.clear();
   for (auto& [service, state] : services_)
-    state.candidates.clear();
+    state.regions.clear();
+  for (auto& [ticket, request] : requests_)
+    request.rankings.clear();
   for (const Instance& spec : view_->instances) {
     const auto known = previous.find(spec.id);
     std::unique_ptr<InstanceTracker> state;
@@ -142,16 +144,30 @@
       state = std::make_unique<InstanceTracker>(spec);
     }
     state->SetEvacuated(view_->evacuated.contains(spec.failureDomain));
-    state->SetColdRate(ColdRateFor(spec));
-    byHash_[ShortHash(spec.id)] = state.get();
-    StateOf(spec.service)
-      .candidates.push_back({ .state = state.get(), .hash = HashBytes(spec.id.Value()) });
+    state->SetColdRate(state->IsCold(aNow) ? ColdRateFor(spec) : 0);
+    const uint32_t hash = ShortHash(spec.id);
+    state->SetPeerInFlight(peerLoads_.At(hash));
+    byHash_[hash] = state.get();
+    AddCandidate(StateOf(spec.service).regions[spec.region], *state);
     instances_[spec.id] = std::move(state);
   }
   for (auto& [service, state] : services_)
     Pump(aNow, service);
 }
 
+void
+Dispatcher::AddCandidate(RegionCandidates& aCandidates, InstanceTracker& aInstance)
+{
+  const Instance& spec = aInstance.Spec();
+  auto& domains = aCandidates.domains;
+  const auto domain = std::find(domains.begin(), domains.end(), spec.failureDomain);
+  const auto index = static_cast<unsigned>(domain - domains.begin());
+  if (domain == domains.end())
+    domains.push_back(spec.failureDomain);
+  aCandidates.list.push_back(
+    { .state = &aInstance, .hash = HashBytes(spec.id.Value()), .domain = index });
+}
+
 void
 Dispatcher::Submit(TimePoint aNow, Ticket aTicket, RequestSpec aSpec)
 {
@@ -199,7 +215,7 @@
     .idempotent = aRequest.spec.route->idempotent,
     .number = aRequest.attempts + 1,
     .ownInFlight = instance->OwnInFlight(),
-    .busy = instance->Busy(aNow),
+    .busy = instance->Busy(),
     .slots = spec.slots,
     .spilled = spec.region != options_.region,
     .waited = aNow - aRequest.spec.arrived,
@@ -207,6 +223,7 @@
   instance->OnSend(aNow);
   ++aRequest.attempts;
   aRequest.tried.push_back(spec.id);
+  aRequest.rankings.clear();
   aRequest.at = spec.id;
   hooks_.start(attempt);
   return true;
@@ -223,12 +240,14 @@
                           .waited = aNow - found->second.spec.arrived,
                           .service = found->second.service,
                           .waiting = state.queue.size() };
-  for (const auto& candidate : state.candidates) {
-    if (candidate.state->WhyUnusable(aNow) != Unusable::No)
-      continue;
-    ++refusal.instances;
-    refusal.slots += candidate.state->Spec().slots;
-    refusal.busy += candidate.state->Busy(aNow);
+  for (const auto& [region, candidates] : state.regions) {
+    for (const Candidate& candidate : candidates.list) {
+      if (candidate.state->WhyUnusable(aNow) != Unusable::No)
+        continue;
+      ++refusal.instances;
+      refusal.slots += candidate.state->Spec().slots;
+      refusal.busy += candidate.state->Busy();
+    }
   }
   requests_.erase(found);
   hooks_.refuse(aTicket, refusal);
@@ -254,6 +273,19 @@
   return order;
 }
 
+bool
+Dispatcher::HasFreeSlot(TimePoint aNow, const ServiceState& aState)
+{
+  for (const auto& [region, candidates] : aState.regions) {
+    for (const Candidate& candidate : candidates.list) {
+      if (candidate.state->FreeSlots(aNow) > 0 &&
+          candidate.state->WhyUnusable(aNow) == Unusable::No)
+        return true;
+    }
+  }
+  return false;
+}
+
 void
 Dispatcher::Pump(TimePoint aNow, const ServiceId& aService)
 {
@@ -261,12 +293,7 @@
   if (state.queue.empty())
     return;
   for (const Ticket ticket : WaitingOrder(aNow, state)) {
-    const bool anyFree =
-      std::any_of(state.candidates.begin(), state.candidates.end(), [&](const auto& aCandidate) {
-        return aCandidate.state->FreeSlots(aNow) > 0 &&
-               aCandidate.state->WhyUnusable(aNow) == Unusable::No;
-      });
-    if (!anyFree)
+    if (!HasFreeSlot(aNow, state))
       return;
     if (TryStart(aNow, ticket, requests_.at(ticket)))
       state.queue.remove(ticket);
@@ -409,6 +436,8 @@
   if (instance == nullptr)
     return;
   instance->OnProbe(aNow, aResult, aColdLeft);
+  if (instance->IsCold(aNow))
+    instance->SetColdRate(ColdRateFor(instance->Spec()));
   if (aResult == ProbeResult::Unreachable) {
     CountCrashes(aNow, *instance);
     Abandon(aInstance);
@@ -420,15 +449,19 @@
 void
 Dispatcher::OnPeerLoad(TimePoint aNow, const VmId& aVm, const std::vector<InstanceLoad>& aLoads)
 {
-  std::unordered_map<uint32_t, unsigned> loads;
-  for (const InstanceLoad& load : aLoads)
-    loads[load.instance] = load.inFlight;
-  for (const auto& [hash, instance] : byHash_) {
-    const auto load = loads.find(hash);
-    instance->OnPeerLoad(aNow, aVm, load == loads.end() ? 0 : load->second);
+  // Requests that wait see the freed slots at the next tick: with many VMs reports arrive far more
+  // often than that.
+  ApplyPeerLoads(peerLoads_.OnReport(aNow, aVm, aLoads));
+}
+
+void
+Dispatcher::ApplyPeerLoads(const std::vector<uint32_t>& aInstances)
+{
+  for (const uint32_t hash : aInstances) {
+    const auto instance = byHash_.find(hash);
+    if (instance != byHash_.end())
+      instance->second->SetPeerInFlight(peerLoads_.At(hash));
   }
-  for (const auto& [service, state] : services_)
-    Pump(aNow, service);
 }
 
 void
@@ -458,8 +491,8 @@
     for (const Ticket ticket : expired) {
       state.queue.remove(ticket);
       const bool usable =
-        std::any_of(state.candidates.begin(), state.candidates.end(), [&](const auto& aCandidate) {
-          return aCandidate.state->WhyUnusable(aNow) == Unusable::No;
+        std::any_of(state.regions.begin(), state.regions.end(), [aNow](const auto& aRegion) {
+          return HasUsable(aNow, aRegion.second);
         });
       const bool timedOut = aNow >= requests_.at(ticket).spec.deadline;
       Refuse(aNow,
@@ -474,10 +507,12 @@
 Dispatcher::CheckSilence(TimePoint aNow)
 {
   for (const auto& [id, instance] : instances_) {
+    if (instance->OwnInFlight() == 0)
+      continue;
     const Duration usual =
       std::max(StateOf(instance->Spec().service).typicalLatency, instance->MeanLatency());
     const Duration longest = std::max(kLeastSilence, Scale(usual, kSilenceFactor));
-    if (instance->OwnInFlight() > 0 && aNow - instance->LastHeard() > longest)
+    if (aNow - instance->LastHeard() > longest)
       instance->OnUnreachable(aNow);
   }
 }
@@ -506,13 +541,15 @@
     ownVms += vm.region == options_.region ? 1 : 0;
   for (auto& [service, state] : services_) {
     std::map<RegionId, RegionUse> uses;
-    for (const auto& candidate : state.candidates) {
-      RegionUse& use = uses[candidate.state->Spec().region];
-      use.region = candidate.state->Spec().region;
-      if (candidate.state->WhyUnusable(aNow) != Unusable::No)
-        continue;
-      use.slots += candidate.state->Spec().slots;
-      use.busy += candidate.state->Busy(aNow);
+    for (const auto& [region, candidates] : state.regions) {
+      RegionUse& use = uses[region];
+      use.region = region;
+      for (const Candidate& candidate : candidates.list) {
+        if (candidate.state->WhyUnusable(aNow) != Unusable::No)
+          continue;
+        use.slots += candidate.state->Spec().slots;
+        use.busy += candidate.state->Busy();
+      }
     }
     // Other VMs' waiting requests are not known; this VM's stand for them.
     uses[options_.region].region = options_.region;
@@ -531,6 +568,7 @@
   for (const auto& [id, instance] : instances_)
     instance->OnTick(aNow);
   if (aNow >= nextSilenceCheck_) {
+    ApplyPeerLoads(peerLoads_.DropExpired(aNow));
     nextSilenceCheck_ = aNow + kSilencePeriod;
     CheckSilence(aNow);
     CheckProbes(aNow);
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -20,6 +20,10 @@
 /// domain.
 constexpr size_t kMostHomes = 2;
 
+/// How long the order of the instances for a waiting request holds. Their health is checked again
+/// at each choice; ranking them at each change of a load costs a small VM its whole processor.
+constexpr Duration kRankingLife = 100ms;
+
 /// Least part of a cold instance's rate, in requests a second, that one VM takes. In a region with
 /// more VMs only some send to the instance.
 constexpr double kLeastColdPart = 2;
@@ -70,40 +74,40 @@
 }
 
 bool
-Dispatcher::HasUsable(TimePoint aNow, const ServiceState& aState, const RegionId& aRegion) const
+Dispatcher::HasUsable(TimePoint aNow, const RegionCandidates& aCandidates)
 {
   return std::any_of(
-    aState.candidates.begin(), aState.candidates.end(), [&](const auto& aCandidate) {
+    aCandidates.list.begin(), aCandidates.list.end(), [&](const Candidate& aCandidate) {
       const Unusable why = aCandidate.state->WhyUnusable(aNow);
-      return aCandidate.state->Spec().region == aRegion &&
-             (why == Unusable::No || why == Unusable::Cold);
+      return why == Unusable::No || why == Unusable::Cold;
     });
 }
 
-InstanceTracker*
-Dispatcher::ChooseIn(TimePoint aNow,
-                     const Request& aRequest,
-                     const ServiceState& aState,
-                     const RegionId& aRegion) const
+std::vector<Dispatcher::Ranked>
+Dispatcher::Rank(TimePoint aNow,
+                 const Request& aRequest,
+                 const ServiceState& aState,
+                 const RegionCandidates& aCandidates) const
 {
   std::vector<Ranked> ranked;
-  ranked.reserve(aState.candidates.size());
-  for (const auto& candidate : aState.candidates) {
+  ranked.reserve(aCandidates.list.size());
+  for (const Candidate& candidate : aCandidates.list) {
     InstanceTracker* const state = candidate.state;
-    if (state->Spec().region != aRegion || state->WhyUnusable(aNow) != Unusable::No)
+    if (state->WhyUnusable(aNow) != Unusable::No)
       continue;
     if (std::find(aRequest.tried.begin(), aRequest.tried.end(), state->Spec().id) !=
         aRequest.tried.end())
       continue;
     ranked.push_back({ .instance = state,
                        .weight = Mix(aRequest.key, candidate.hash),
+                       .domain = candidate.domain,
                        .degraded = state->IsDegraded(aNow, aState.typicalLatency),
-                       .far = state->Spec().failureDomain != options_.failureDomain });
+                       .far = aCandidates.domains[candidate.domain] != options_.failureDomain });
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
     return aLeft.weight > aRight.weight;
   });
-  MarkHomes(ranked);
+  MarkHomes(ranked, aCandidates.domains.size());
   std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
     if (aLeft.degraded != aRight.degraded)
       return aRight.degraded;
@@ -111,30 +115,52 @@
       return aLeft.home;
     return aLeft.home && !aLeft.far && aRight.far;
   });
+  return ranked;
+}
+
+InstanceTracker*
+Dispatcher::ChooseIn(TimePoint aNow,
+                     Request& aRequest,
+                     const ServiceState& aState,
+                     const RegionId& aRegion) const
+{
+  const auto candidates = aState.regions.find(aRegion);
+  if (candidates == aState.regions.end())
+    return nullptr;
+  Ranking& ranking = aRequest.rankings[aRegion];
+  if (ranking.order.empty() || aNow - ranking.at >= kRankingLife)
+    ranking = { .at = aNow, .order = Rank(aNow, aRequest, aState, candidates->second) };
   const bool homesOnly =
     aNow - aRequest.spec.arrived < Scale(aRequest.spec.route->goal, kWarmWaitShare);
-  for (const Ranked& candidate : ranked) {
+  for (const Ranked& candidate : ranking.order) {
     if (homesOnly && !candidate.home)
       continue;
-    if (candidate.instance->FreeSlots(aNow) > 0)
-      return candidate.instance;
+    const InstanceTracker& instance = *candidate.instance;
+    if (instance.FreeSlots(aNow) <= 0 || instance.WhyUnusable(aNow) != Unusable::No)
+      continue;
+    // It turned bad, or got its trial, since the ranking.
+    if (!candidate.degraded && instance.IsDegraded(aNow, aState.typicalLatency))
+      continue;
+    return candidate.instance;
   }
   return nullptr;
 }
 
 void
-Dispatcher::MarkHomes(std::vector<Ranked>& aRanked)
+Dispatcher::MarkHomes(std::vector<Ranked>& aRanked, size_t aDomains)
 {
-  std::map<FailureDomainId, size_t> perDomain;
+  std::vector<size_t> perDomain(aDomains);
   for (const Ranked& candidate : aRanked)
-    ++perDomain[candidate.instance->Spec().failureDomain];
-  const bool inEachDomain = std::all_of(perDomain.begin(), perDomain.end(), [](const auto& aEntry) {
-    return aEntry.second >= kObjectParts;
+    ++perDomain[candidate.domain];
+  const bool inEachDomain = std::all_of(perDomain.begin(), perDomain.end(), [](size_t aCount) {
+    return aCount == 0 || aCount >= kObjectParts;
   });
   if (inEachDomain) {
-    std::set<FailureDomainId> marked;
-    for (Ranked& candidate : aRanked)
-      candidate.home = marked.insert(candidate.instance->Spec().failureDomain).second;
+    std::vector<bool> marked(aDomains);
+    for (Ranked& candidate : aRanked) {
+      candidate.home = !marked[candidate.domain];
+      marked[candidate.domain] = true;
+    }
     return;
   }
   const size_t homes = std::clamp<size_t>(aRanked.size() / kObjectParts, 1, kMostHomes);
@@ -143,7 +169,7 @@
 }
 
 InstanceTracker*
-Dispatcher::Choose(TimePoint aNow, const Request& aRequest, const ServiceState& aState) const
+Dispatcher::Choose(TimePoint aNow, Request& aRequest, const ServiceState& aState) const
 {
   const Route& route = *aRequest.spec.route;
   const bool ownAllowed = MayServeIn(route, options_.region);
@@ -152,26 +178,24 @@
     if (InstanceTracker* const remote = ChooseIn(aNow, aRequest, aState, *spillTo))
       return remote;
   }
-  if (ownAllowed && HasUsable(aNow, aState, options_.region))
+  const auto own = aState.regions.find(options_.region);
+  if (ownAllowed && own != aState.regions.end() && HasUsable(aNow, own->second))
     return ChooseIn(aNow, aRequest, aState, options_.region);
 
   // The own region cannot serve the request at all. The region is chosen by key, so that objects
   // stay warm.
-  std::set<RegionId> others;
-  for (const auto& candidate : aState.candidates) {
-    const RegionId& region = candidate.state->Spec().region;
-    if (region != options_.region && MayServeIn(route, region) && HasUsable(aNow, aState, region))
-      others.insert(region);
+  std::vector<RegionId> others;
+  for (const auto& [region, candidates] : aState.regions) {
+    if (region != options_.region && MayServeIn(route, region) && HasUsable(aNow, candidates))
+      others.push_back(region);
   }
   if (others.empty())
     return nullptr;
-  const auto start = static_cast<ptrdiff_t>(Mix(aRequest.key, 0) % others.size());
-  auto region = std::next(others.begin(), start);
+  const size_t start = Mix(aRequest.key, 0) % others.size();
   for (size_t i = 0; i < others.size(); ++i) {
-    if (InstanceTracker* const remote = ChooseIn(aNow, aRequest, aState, *region))
+    const RegionId& region = others[(start + i) % others.size()];
+    if (InstanceTracker* const remote = ChooseIn(aNow, aRequest, aState, region))
       return remote;
-    if (++region == others.end())
-      region = others.begin();
   }
   return nullptr;
 }
--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// A peer's report that was not renewed for this long no longer counts: the peer is gone or cut
-/// off, and its requests have ended or will soon. Peers report several times in this span.
-constexpr Duration kPeerLoadLife = 1s;
-
 /// Weight of the latest answer in the moving means of failures and latency; about ten answers
 /// decide.
 constexpr double kMeanWeight = 0.1;
@@ -82,10 +78,12 @@
   if (aInstance.bornMs != spec_.bornMs || aInstance.endpoint != spec_.endpoint) {
     // Requests of the earlier run end through their own connections.
     const unsigned inFlight = inFlight_;
+    const unsigned peerInFlight = peerInFlight_;
     const bool evacuated = evacuated_;
     const double coldRate = coldRate_;
     *this = InstanceTracker(std::move(aInstance));
     inFlight_ = inFlight;
+    peerInFlight_ = peerInFlight;
     evacuated_ = evacuated;
     coldRate_ = coldRate;
     return;
@@ -117,23 +115,12 @@
   return Unusable::No;
 }
 
-unsigned
-InstanceTracker::Busy(TimePoint aNow) const
-{
-  unsigned busy = inFlight_;
-  for (const auto& [vm, load] : peers_) {
-    if (aNow - load.at < kPeerLoadLife)
-      busy += load.inFlight;
-  }
-  return busy;
-}
-
 int
 InstanceTracker::FreeSlots(TimePoint aNow) const
 {
   if (aNow < shedUntil_)
     return 0;
-  return static_cast<int>(spec_.slots) - static_cast<int>(Busy(aNow));
+  return static_cast<int>(spec_.slots) - static_cast<int>(Busy());
 }
 
 bool
@@ -239,13 +226,4 @@
   probeAt_ = aNow + 2 * kLongestProbeWait;
 }
 
-void
-InstanceTracker::OnPeerLoad(TimePoint aNow, const VmId& aVm, unsigned aInFlight)
-{
-  if (aInFlight == 0)
-    peers_.erase(aVm);
-  else
-    peers_[aVm] = { .inFlight = aInFlight, .at = aNow };
-}
-
 } // namespace dfm
--- /dev/null
+++ b/unittests/Steering/PeerLoadsTest.cpp
@@ -0,0 +1,60 @@
+#include "dragonflymoor/Steering/PeerLoads.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace dfm;
+
+/// The requests of a VM that died, or an earlier report of the same VM, stayed in the sum: the
+/// instance counted as full for good.
+Test(PeerLoads, CountsOnlyTheLatestReportOfLiveVms)
+{
+  PeerLoads loads;
+  const TimePoint start{ 100s };
+  loads.OnReport(start, VmId("vm-1"), { { .instance = 7, .inFlight = 3 } });
+  loads.OnReport(start + 500ms, VmId("vm-2"), { { .instance = 7, .inFlight = 2 } });
+  cr_assert(loads.At(7) == 5);
+  loads.OnReport(start + 600ms, VmId("vm-2"), { { .instance = 8, .inFlight = 4 } });
+  cr_assert(loads.At(7) == 3 && loads.At(8) == 4);
+  cr_assert(loads.DropExpired(start + 999ms).empty());
+  cr_assert(loads.DropExpired(start + 1s) == std::vector<uint32_t>{ 7 });
+  cr_assert(loads.At(7) == 0 && loads.At(8) == 4);
+}
+
+/// The running sums drifted away from the reports that they are made of.
+Test(PeerLoads, EqualsTheSumOfTheReports)
+{
+  const bool held = rc::check("sums equal the reports in force", [] {
+    PeerLoads loads;
+    std::map<unsigned, std::pair<TimePoint, std::vector<InstanceLoad>>> oracle;
+    TimePoint now{ 100s };
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      now += Duration(std::chrono::milliseconds(*rc::gen::inRange(0, 400)));
+      const unsigned vm = *rc::gen::inRange(0, 5);
+      std::vector<InstanceLoad> report(*rc::gen::inRange<size_t>(0, 4));
+      for (InstanceLoad& load : report) {
+        load.instance = *rc::gen::inRange<uint32_t>(0, 5);
+        load.inFlight = *rc::gen::inRange<uint16_t>(0, 9);
+      }
+      loads.DropExpired(now);
+      loads.OnReport(now, VmId(std::to_string(vm)), report);
+      std::erase_if(oracle, [now](const auto& aIt) { return now - aIt.second.first >= 1s; });
+      oracle[vm] = { now, report };
+      for (uint32_t instance = 0; instance < 5; ++instance) {
+        unsigned sum = 0;
+        for (const auto& [id, entry] : oracle) {
+          for (const InstanceLoad& load : entry.second)
+            sum += load.instance == instance ? load.inFlight : 0;
+        }
+        RC_ASSERT(loads.At(instance) == sum);
+      }
+    }
+  });
+  cr_assert(held);
+}
+
+} // namespace
