Bound the moves between regions by what runs; send smaller load reports

The spilled share of the keys moves by 4 % a second, but a region that is overloaded five times refuses most requests of its own, so that 8 % of the keys are a third of what runs.

Change: ShiftLimit counts the starts of this VM by region and bounds the growth of another region's share from one window of 2 s to the next. The platform's bound is a setting. Load reports hold 5 instead of 8 bytes an instance, go to other failure domains at a third of the rate where there are many VMs, and state their life: reports every 850 ms with a life of 1 s flapped.

Ruled out: the directory, as callers are sent to their own region only.

The overloaded region is served worse: it must need fewer slots and start with a share elsewhere.

--- a/include/dragonflymoor/Gateway/LoadExchange.h
+++ b/include/dragonflymoor/Gateway/LoadExchange.h
@@ -30,6 +30,8 @@
   /// VMs that hear the load equally often.
   struct Group
   {
+    Duration basePeriod{};      ///< Between two reports, with few receivers.
+    size_t fullRateReceivers = 1; ///< With more the period grows in proportion.
     std::vector<asio::ip::udp::endpoint> targets;
     Duration period{};
     TimePoint nextAt;
@@ -38,14 +40,16 @@
   };
 
   asio::awaitable<void> Receive();
+  Group& GroupOf(const Vm& aVm);
   void SendTo(Group& aGroup, TimePoint aNow, const std::vector<InstanceLoad>& aLoads);
 
   asio::ip::udp::socket socket_;
   Vm self_;
   Received received_;
   uint16_t port_ = 0;
-  Group own_;
-  Group others_;
+  Group domain_; ///< VMs of the own failure domain.
+  Group region_; ///< Of the others in the own region.
+  Group away_;   ///< Of other regions.
 };
 
 } // namespace dfm
--- a/include/dragonflymoor/Settings/SteeringSettings.h
+++ b/include/dragonflymoor/Settings/SteeringSettings.h
@@ -28,6 +28,7 @@
   Duration directoryTtl{}; ///< How long callers may use an answer of the directory.
   double retryRatio = 0;   ///< Repeats of all VMs together for each request of a service.
   double retrySlack = 0;   ///< Repeats of all VMs together in each window besides.
+  double maxShift = 0.15;  ///< Part of a region's requests that may change region within 2 s.
   LogLevel logLevel = LogLevel::Info;
 
   bool operator==(const SteeringSettings&) const = default;
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -6,6 +6,7 @@
 #include "dragonflymoor/Steering/FleetView.h"
 #include "dragonflymoor/Steering/InstanceTracker.h"
 #include "dragonflymoor/Steering/PeerLoads.h"
+#include "dragonflymoor/Steering/ShiftLimit.h"
 #include "dragonflymoor/Steering/SpillControl.h"
 #include "dragonflymoor/Steering/SplitChooser.h"
 #include "dragonflymoor/Support/Random.h"
@@ -119,6 +120,9 @@
   /// besides.
   double retryRatio = 0.2;
   double retrySlack = 0;
+  /// Part of a region's requests that may change the region in which they run from one window to
+  /// the next.
+  double maxShift = 0.15;
   SpillOptions spill;
 };
 
@@ -156,7 +160,7 @@
   Verdict OnAttemptEnd(TimePoint aNow, Ticket aTicket, const AttemptEndReport& aReport);
 
   void OnProbe(TimePoint aNow, const BackendId& aInstance, ProbeResult aResult, Duration aColdLeft);
-  void OnPeerLoad(TimePoint aNow, const VmId& aVm, const std::vector<InstanceLoad>& aLoads);
+  void OnPeerLoad(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad);
   void OnCrashReport(TimePoint aNow, const CrashReport& aReport);
   /// Every 10 ms.
   void OnTick(TimePoint aNow);
@@ -264,6 +268,7 @@
   std::map<ServiceId, ServiceState> services_;
   std::unordered_map<Ticket, Request> requests_;
   SplitChooser splits_;
+  ShiftLimit shifts_;
   RetryBudget retries_;
   CrashRegistry crashes_;
   TimePoint nextSpillUpdate_;
--- a/include/dragonflymoor/Steering/PeerLoads.h
+++ b/include/dragonflymoor/Steering/PeerLoads.h
@@ -19,15 +19,22 @@
   auto operator<=>(const InstanceLoad&) const = default;
 };
 
+/// UDP: what a VM tells others of its requests in flight.
+struct PeerLoad
+{
+  std::vector<InstanceLoad> loads; ///< Instances without any are left out.
+  Duration life{};                 ///< Without another report the load counts no longer than this.
+
+  auto operator<=>(const PeerLoad&) const = default;
+};
+
 /// Sums the requests that other VMs have in flight at each instance, from their latest reports. A
 /// report costs as much as it has entries, whatever the number of instances. Not thread-safe.
 class PeerLoads
 {
 public:
   /// Replaces the VM's earlier report. Returns the instances whose sum may have changed.
-  std::vector<uint32_t> OnReport(TimePoint aNow,
-                                 const VmId& aVm,
-                                 const std::vector<InstanceLoad>& aLoads);
+  std::vector<uint32_t> OnReport(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad);
 
   /// Drops reports that were not renewed in time: the VM is gone or cut off, and its requests have
   /// ended or will soon. Returns the instances whose sum may have changed.
@@ -39,7 +46,7 @@
 private:
   struct Report
   {
-    TimePoint at;
+    TimePoint until;
     std::vector<InstanceLoad> loads;
   };
 
--- a/include/dragonflymoor/Steering/PeerMessages.h
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -12,14 +12,6 @@
 
 namespace dfm {
 
-/// UDP: all requests that the sender has in flight.
-struct PeerLoad
-{
-  std::vector<InstanceLoad> loads;
-
-  auto operator<=>(const PeerLoad&) const = default;
-};
-
 /// UDP: a request crashed an instance.
 struct PeerCrash
 {
--- /dev/null
+++ b/include/dragonflymoor/Steering/ShiftLimit.h
@@ -0,0 +1,53 @@
+#ifndef DRAGONFLYMOOR_STEERING_SHIFTLIMIT_H
+#define DRAGONFLYMOOR_STEERING_SHIFTLIMIT_H
+
+#include "dragonflymoor/Support/Id.h"
+#include "dragonflymoor/Support/Time.h"
+#include <deque>
+#include <map>
+
+namespace dfm {
+
+/// Bounds how fast the share of this VM's requests that run in another region grows. When every VM
+/// of a region keeps the bound, their sum does too. It counts requests that were started: while the
+/// own region is overloaded and refuses most of its requests, a small part of the keys can be most
+/// of what runs. Not thread-safe.
+class ShiftLimit
+{
+public:
+  /// aMaxChange is the largest growth of a region's share of the starts, between 0 and 1, from one
+  /// window to the next.
+  ShiftLimit(RegionId aSelf, double aMaxChange)
+    : self_(std::move(aSelf))
+    , maxChange_(aMaxChange)
+  {
+  }
+
+  /// Whether one more request may start in another region.
+  bool MayStart(TimePoint aNow, const RegionId& aRegion) const;
+
+  /// A request was started, in any region.
+  void OnStart(TimePoint aNow, const RegionId& aRegion);
+
+private:
+  struct Slice
+  {
+    TimePoint start;
+    unsigned all = 0;
+    std::map<RegionId, unsigned> away; ///< Of these, in other regions.
+  };
+  struct Window
+  {
+    unsigned all = 0;
+    unsigned away = 0;
+  };
+  Window Sum(TimePoint aFrom, TimePoint aUntil, const RegionId& aRegion) const;
+
+  RegionId self_;
+  double maxChange_;
+  std::deque<Slice> slices_; ///< Of two windows; the oldest first.
+};
+
+} // namespace dfm
+
+#endif
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -101,7 +101,8 @@
                                   .failureDomain = settings.self.failureDomain,
                                   .randomSeed = random.Next(),
                                   .retryRatio = settings.retryRatio,
-                                  .retrySlack = settings.retrySlack },
+                                  .retrySlack = settings.retrySlack,
+                                  .maxShift = settings.maxShift },
                MakeDispatcherHooks())
   , instances(traffic, options.platform.protocol, metrics)
   , front(traffic, options.platform.protocol, dispatcher, instances, metrics)
@@ -193,7 +194,7 @@
 {
   const TimePoint now = ReadClocks().monotonic;
   if (const auto* load = std::get_if<PeerLoad>(&aEnvelope.message)) {
-    dispatcher.OnPeerLoad(now, aEnvelope.sender, load->loads);
+    dispatcher.OnPeerLoad(now, aEnvelope.sender, *load);
   } else if (const auto* crash = std::get_if<PeerCrash>(&aEnvelope.message)) {
     dispatcher.OnCrashReport(now,
                              { .reportId = crash->reportId, .fingerprint = crash->fingerprint });
--- a/lib/Gateway/LoadExchange.cpp
+++ b/lib/Gateway/LoadExchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <optional>
 
 namespace dfm {
 
@@ -12,14 +13,22 @@
 
 /// How often the load goes to VMs of the own region: a third of the time that the shortest requests
 /// take, so that most slots that become free are seen in time.
-constexpr Duration kOwnPeriod = 25ms;
+constexpr Duration kRegionPeriod = 25ms;
 
 /// How often the load goes to VMs of other regions, which only compare regions.
-constexpr Duration kOthersPeriod = 100ms;
+constexpr Duration kAwayPeriod = 100ms;
 
 /// Up to this many receivers the periods hold; with more they grow in proportion, so that the bytes
-/// sent by one VM stay the same.
-constexpr size_t kFullRateReceivers = 6;
+/// sent by one VM stay the same. Bytes between failure domains of a region are priced, and most
+/// requests stay in one, so that the others may hear of them later.
+constexpr size_t kDomainReceivers = 6;
+constexpr size_t kRegionReceivers = 2;
+constexpr size_t kAwayReceivers = 6;
+
+/// Life of a report in periods: two lost ones in a row do not end it. At least the other value,
+/// which leaves time for the repetition of an unchanged load.
+constexpr int kLifePeriods = 3;
+constexpr Duration kShortestLife = 1s;
 
 /// A load that did not change is repeated after this time: datagrams get lost, and receivers forget
 /// a load after a second.
@@ -27,18 +36,15 @@
 
 constexpr size_t kMaxDatagram = 64UL * 1024;
 
-Duration
-Stretch(Duration aPeriod, size_t aReceivers)
-{
-  return aPeriod * std::max(aReceivers, kFullRateReceivers) / kFullRateReceivers;
-}
-
 } // namespace
 
 LoadExchange::LoadExchange(asio::io_context& aContext, Vm aSelf, Received aReceived)
   : socket_(aContext)
   , self_(std::move(aSelf))
   , received_(std::move(aReceived))
+  , domain_{ .basePeriod = kRegionPeriod, .fullRateReceivers = kDomainReceivers }
+  , region_{ .basePeriod = kRegionPeriod, .fullRateReceivers = kRegionReceivers }
+  , away_{ .basePeriod = kAwayPeriod, .fullRateReceivers = kAwayReceivers }
 {
 }
 
@@ -52,33 +58,40 @@
   return error;
 }
 
+LoadExchange::Group&
+LoadExchange::GroupOf(const Vm& aVm)
+{
+  if (aVm.region != self_.region)
+    return away_;
+  return aVm.failureDomain == self_.failureDomain ? domain_ : region_;
+}
+
 void
 LoadExchange::SetVms(const std::vector<Vm>& aVms)
 {
-  own_.targets.clear();
-  others_.targets.clear();
+  for (Group* group : { &domain_, &region_, &away_ })
+    group->targets.clear();
   for (const Vm& vm : aVms) {
-    if (vm.id == self_.id)
-      continue;
-    Group& group = vm.region == self_.region ? own_ : others_;
-    group.targets.emplace_back(ToAddress(vm.peers), port_);
+    if (vm.id != self_.id)
+      GroupOf(vm).targets.emplace_back(ToAddress(vm.peers), port_);
+  }
+  for (Group* group : { &domain_, &region_, &away_ }) {
+    const size_t receivers = std::max(group->targets.size(), group->fullRateReceivers);
+    group->period = group->basePeriod * receivers / group->fullRateReceivers;
   }
-  own_.period = Stretch(kOwnPeriod, own_.targets.size());
-  others_.period = Stretch(kOthersPeriod, others_.targets.size());
 }
 
 void
 LoadExchange::OnTick(TimePoint aNow, const std::function<std::vector<InstanceLoad>()>& aLoads)
 {
-  const bool ownDue = aNow >= own_.nextAt && !own_.targets.empty();
-  const bool othersDue = aNow >= others_.nextAt && !others_.targets.empty();
-  if (!ownDue && !othersDue)
-    return;
-  const std::vector<InstanceLoad> loads = aLoads();
-  if (ownDue)
-    SendTo(own_, aNow, loads);
-  if (othersDue)
-    SendTo(others_, aNow, loads);
+  std::optional<std::vector<InstanceLoad>> loads;
+  for (Group* group : { &domain_, &region_, &away_ }) {
+    if (aNow < group->nextAt || group->targets.empty())
+      continue;
+    if (!loads)
+      loads = aLoads();
+    SendTo(*group, aNow, *loads);
+  }
 }
 
 void
@@ -90,7 +103,9 @@
     return;
   aGroup.sent = aLoads;
   aGroup.sentAt = aNow;
-  const std::string bytes = EncodePeer(self_.id, PeerLoad{ .loads = aLoads });
+  const std::string bytes = EncodePeer(
+    self_.id,
+    PeerLoad{ .loads = aLoads, .life = std::max(kShortestLife, kLifePeriods * aGroup.period) });
   error_code ignored; // A lost report is repeated soon.
   for (const auto& target : aGroup.targets)
     socket_.send_to(asio::buffer(bytes), target, 0, ignored);
@@ -100,7 +115,7 @@
 LoadExchange::SendToAll(const PeerMessage& aMessage)
 {
   const std::string bytes = EncodePeer(self_.id, aMessage);
-  for (const Group* group : { &own_, &others_ }) {
+  for (const Group* group : { &domain_, &region_, &away_ }) {
     for (const auto& target : group->targets) {
       error_code error;
       socket_.send_to(asio::buffer(bytes), target, 0, error);
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -23,6 +23,10 @@
 /// start or stop while the shares change.
 constexpr double kRetryUse = 0.7;
 
+/// Part of the platform's bound on moves between regions that this VM uses; the rest covers VMs that
+/// decide at different moments and with few requests each.
+constexpr double kShiftUse = 0.6;
+
 /// A retry needs at least this part of the service's usual latency, or its answer comes too late.
 constexpr double kLeastRetryTime = 0.5;
 
@@ -97,6 +101,7 @@
   , hooks_(std::move(aHooks))
   , random_(options_.randomSeed)
   , view_(std::make_shared<FleetView>())
+  , shifts_(options_.region, kShiftUse * options_.maxShift)
   , retries_({ .perRequest = kRetryUse * options_.retryRatio, .burst = 1 })
   , crashes_(kCrashOptions, random_.Next())
 {
@@ -221,6 +226,7 @@
     .waited = aNow - aRequest.spec.arrived,
   };
   instance->OnSend(aNow);
+  shifts_.OnStart(aNow, spec.region);
   ++aRequest.attempts;
   aRequest.tried.push_back(spec.id);
   aRequest.rankings.clear();
@@ -447,11 +453,11 @@
 }
 
 void
-Dispatcher::OnPeerLoad(TimePoint aNow, const VmId& aVm, const std::vector<InstanceLoad>& aLoads)
+Dispatcher::OnPeerLoad(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad)
 {
   // Requests that wait see the freed slots at the next tick: with many VMs reports arrive far more
   // often than that.
-  ApplyPeerLoads(peerLoads_.OnReport(aNow, aVm, aLoads));
+  ApplyPeerLoads(peerLoads_.OnReport(aNow, aVm, aLoad));
 }
 
 void
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -174,7 +174,7 @@
   const Route& route = *aRequest.spec.route;
   const bool ownAllowed = MayServeIn(route, options_.region);
   const auto spillTo = aState.spill.RegionFor(aRequest.key);
-  if (ownAllowed && spillTo && MayServeIn(route, *spillTo)) {
+  if (ownAllowed && spillTo && MayServeIn(route, *spillTo) && shifts_.MayStart(aNow, *spillTo)) {
     if (InstanceTracker* const remote = ChooseIn(aNow, aRequest, aState, *spillTo))
       return remote;
   }
--- a/lib/Steering/PeerLoads.cpp
+++ b/lib/Steering/PeerLoads.cpp
@@ -2,13 +2,6 @@
 
 namespace dfm {
 
-namespace {
-
-/// Life of a report that is not renewed. VMs repeat theirs several times in this span.
-constexpr Duration kReportLife = 1s;
-
-} // namespace
-
 void
 PeerLoads::Subtract(const Report& aReport, std::vector<uint32_t>& aChanged)
 {
@@ -22,13 +15,13 @@
 }
 
 std::vector<uint32_t>
-PeerLoads::OnReport(TimePoint aNow, const VmId& aVm, const std::vector<InstanceLoad>& aLoads)
+PeerLoads::OnReport(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad)
 {
   std::vector<uint32_t> changed;
   Report& report = reports_[aVm];
   Subtract(report, changed);
-  report = { .at = aNow };
-  for (const InstanceLoad& load : aLoads) {
+  report = { .until = aNow + aLoad.life };
+  for (const InstanceLoad& load : aLoad.loads) {
     if (load.inFlight == 0)
       continue;
     report.loads.push_back(load);
@@ -43,7 +36,7 @@
 {
   std::vector<uint32_t> changed;
   for (auto report = reports_.begin(); report != reports_.end();) {
-    if (aNow - report->second.at < kReportLife) {
+    if (aNow < report->second.until) {
       ++report;
       continue;
     }
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -1,7 +1,9 @@
 #include "dragonflymoor/Steering/PeerMessages.h"
 
 #include "steering_generated.h"
+#include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 namespace dfm {
 
@@ -10,6 +12,10 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
+/// Largest values that a load report can hold.
+constexpr uint16_t kMostInFlight = std::numeric_limits<uint8_t>::max();
+constexpr int64_t kLongestLifeMs = std::numeric_limits<uint16_t>::max();
+
 struct Body
 {
   wire::SteeringBody type = wire::SteeringBody::NONE;
@@ -19,12 +25,19 @@
 Body
 Encode(FlatBufferBuilder& aBuilder, const PeerLoad& aLoad)
 {
-  std::vector<wire::InstanceLoadEntry> entries;
-  entries.reserve(aLoad.loads.size());
-  for (const InstanceLoad& load : aLoad.loads)
-    entries.emplace_back(load.instance, load.inFlight);
-  const auto loads = aBuilder.CreateVectorOfStructs(entries);
-  return { wire::SteeringBody::LoadReport, wire::CreateLoadReport(aBuilder, loads).Union() };
+  std::vector<uint32_t> instances;
+  std::vector<uint8_t> inFlight;
+  for (const InstanceLoad& load : aLoad.loads) {
+    instances.push_back(load.instance);
+    inFlight.push_back(static_cast<uint8_t>(std::min(load.inFlight, kMostInFlight)));
+  }
+  const int64_t lifeMs = std::chrono::duration_cast<std::chrono::milliseconds>(aLoad.life).count();
+  return { wire::SteeringBody::LoadReport,
+           wire::CreateLoadReportDirect(aBuilder,
+                                        &instances,
+                                        &inFlight,
+                                        static_cast<uint16_t>(std::min(lifeMs, kLongestLifeMs)))
+             .Union() };
 }
 
 Body
@@ -64,14 +77,18 @@
            wire::CreateStateReplyDirect(aBuilder, aReply.storeSteady, &sets).Union() };
 }
 
-PeerMessage
+Decoded<PeerMessage>
 Decode(const wire::LoadReport& aReport)
 {
-  PeerLoad load;
-  if (aReport.loads() != nullptr) {
-    for (const wire::InstanceLoadEntry* entry : *aReport.loads())
-      load.loads.push_back({ .instance = entry->instance(), .inFlight = entry->in_flight() });
-  }
+  PeerLoad load{ .life = std::chrono::milliseconds(aReport.life_ms()) };
+  const auto* instances = aReport.instances();
+  const auto* inFlight = aReport.in_flight();
+  if (instances == nullptr || inFlight == nullptr)
+    return load;
+  if (instances->size() != inFlight->size())
+    return tl::unexpected(CodecError{ "load report: the lists differ in length" });
+  for (flatbuffers::uoffset_t i = 0; i < instances->size(); ++i)
+    load.loads.push_back({ .instance = instances->Get(i), .inFlight = inFlight->Get(i) });
   return load;
 }
 
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -16,8 +16,6 @@
 namespace dfm {
 namespace wire {
 
-struct InstanceLoadEntry;
-
 struct LoadReport;
 struct LoadReportBuilder;
 
@@ -101,46 +99,29 @@
 bool VerifySteeringBody(flatbuffers::Verifier &verifier, const void *obj, SteeringBody type);
 bool VerifySteeringBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<SteeringBody> *types);
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) InstanceLoadEntry FLATBUFFERS_FINAL_CLASS {
- private:
-  uint32_t instance_;
-  uint16_t in_flight_;
-  int16_t padding0__;
-
- public:
-  InstanceLoadEntry()
-      : instance_(0),
-        in_flight_(0),
-        padding0__(0) {
-    (void)padding0__;
-  }
-  InstanceLoadEntry(uint32_t _instance, uint16_t _in_flight)
-      : instance_(flatbuffers::EndianScalar(_instance)),
-        in_flight_(flatbuffers::EndianScalar(_in_flight)),
-        padding0__(0) {
-    (void)padding0__;
-  }
-  uint32_t instance() const {
-    return flatbuffers::EndianScalar(instance_);
-  }
-  uint16_t in_flight() const {
-    return flatbuffers::EndianScalar(in_flight_);
-  }
-};
-FLATBUFFERS_STRUCT_END(InstanceLoadEntry, 8);
-
 struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LOADS = 4
+    VT_INSTANCES = 4,
+    VT_IN_FLIGHT = 6,
+    VT_LIFE_MS = 8
   };
-  const flatbuffers::Vector<const dfm::wire::InstanceLoadEntry *> *loads() const {
-    return GetPointer<const flatbuffers::Vector<const dfm::wire::InstanceLoadEntry *> *>(VT_LOADS);
+  const flatbuffers::Vector<uint32_t> *instances() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_INSTANCES);
+  }
+  const flatbuffers::Vector<uint8_t> *in_flight() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_IN_FLIGHT);
+  }
+  uint16_t life_ms() const {
+    return GetField<uint16_t>(VT_LIFE_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_LOADS) &&
-           verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_INSTANCES) &&
+           verifier.VerifyVector(instances()) &&
+           VerifyOffset(verifier, VT_IN_FLIGHT) &&
+           verifier.VerifyVector(in_flight()) &&
+           VerifyField<uint16_t>(verifier, VT_LIFE_MS, 2) &&
            verifier.EndTable();
   }
 };
@@ -149,8 +130,14 @@
   typedef LoadReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const dfm::wire::InstanceLoadEntry *>> loads) {
-    fbb_.AddOffset(LoadReport::VT_LOADS, loads);
+  void add_instances(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> instances) {
+    fbb_.AddOffset(LoadReport::VT_INSTANCES, instances);
+  }
+  void add_in_flight(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> in_flight) {
+    fbb_.AddOffset(LoadReport::VT_IN_FLIGHT, in_flight);
+  }
+  void add_life_ms(uint16_t life_ms) {
+    fbb_.AddElement<uint16_t>(LoadReport::VT_LIFE_MS, life_ms, 0);
   }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -165,19 +152,28 @@
 
 inline flatbuffers::Offset<LoadReport> CreateLoadReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<const dfm::wire::InstanceLoadEntry *>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> instances = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> in_flight = 0,
+    uint16_t life_ms = 0) {
   LoadReportBuilder builder_(_fbb);
-  builder_.add_loads(loads);
+  builder_.add_in_flight(in_flight);
+  builder_.add_instances(instances);
+  builder_.add_life_ms(life_ms);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<LoadReport> CreateLoadReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<dfm::wire::InstanceLoadEntry> *loads = nullptr) {
-  auto loads__ = loads ? _fbb.CreateVectorOfStructs<dfm::wire::InstanceLoadEntry>(*loads) : 0;
+    const std::vector<uint32_t> *instances = nullptr,
+    const std::vector<uint8_t> *in_flight = nullptr,
+    uint16_t life_ms = 0) {
+  auto instances__ = instances ? _fbb.CreateVector<uint32_t>(*instances) : 0;
+  auto in_flight__ = in_flight ? _fbb.CreateVector<uint8_t>(*in_flight) : 0;
   return dfm::wire::CreateLoadReport(
       _fbb,
-      loads__);
+      instances__,
+      in_flight__,
+      life_ms);
 }
 
 struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/unittests/Settings/SteeringSettingsTest.cpp
+++ b/unittests/Settings/SteeringSettingsTest.cpp
@@ -17,7 +17,7 @@
   "vmPorts": {"first": 7540, "last": 7555},
   "seeds": ["10.2.0.34:8544"],
   "store": "10.200.1.7:8541",
-  "stopSeconds": 6, "directoryTtlSeconds": 1, "retryRatio": 0.2, "retrySlack": 58, // a comment
+  "stopSeconds": 6, "directoryTtlSeconds": 1, "retryRatio": 0.2, "retrySlack": 58, "maxShift": 0.1, // a comment
 })";
 
 std::string
@@ -37,7 +37,7 @@
   cr_assert(settings->self.peers.port == 7540 && settings->loadReports.port == 7541);
   cr_assert(settings->seeds.size() == 1 && settings->seeds[0].port == 7540);
   cr_assert(settings->failureDomains.at(FailureDomainId("south-a")) == RegionId("south"));
-  cr_assert(settings->stopTime == 6s && settings->retrySlack == 58);
+  cr_assert(settings->stopTime == 6s && settings->retrySlack == 58 && settings->maxShift == 0.1);
 }
 
 /// Broken settings were accepted, or the finding did not name its place.
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -69,7 +69,7 @@
   const Ticket first = fixture.Submit({}, 1);
   const auto load = fixture.dispatcher.OwnLoad();
   cr_assert(load.size() == 1 && load[0].inFlight == 1);
-  fixture.dispatcher.OnPeerLoad(fixture.now, VmId("vm-9"), load);
+  fixture.dispatcher.OnPeerLoad(fixture.now, VmId("vm-9"), { .loads = load, .life = 1s });
   fixture.Submit({}, 2);
   cr_assert(fixture.started.size() == 1);
   fixture.End(first, Kind::Answered, 200);
--- a/unittests/Steering/ManifestTest.cpp
+++ b/unittests/Steering/ManifestTest.cpp
@@ -118,7 +118,8 @@
   kind.whole = false;
   kind.removed.emplace_back("i-2");
   const PeerMessage messages[] = {
-    PeerLoad{ .loads = { { .instance = 7, .inFlight = 3 }, { .instance = 9, .inFlight = 1 } } },
+    PeerLoad{ .loads = { { .instance = 7, .inFlight = 3 }, { .instance = 9, .inFlight = 1 } },
+              .life = 1500ms },
     PeerCrash{ .reportId = 5, .fingerprint = 6 },
     StateRequest{ .revisions = { 1, 2, 3 } },
     reply,
--- a/unittests/Steering/PeerLoadsTest.cpp
+++ b/unittests/Steering/PeerLoadsTest.cpp
@@ -14,10 +14,10 @@
 {
   PeerLoads loads;
   const TimePoint start{ 100s };
-  loads.OnReport(start, VmId("vm-1"), { { .instance = 7, .inFlight = 3 } });
-  loads.OnReport(start + 500ms, VmId("vm-2"), { { .instance = 7, .inFlight = 2 } });
+  loads.OnReport(start, VmId("vm-1"), { .loads = { { .instance = 7, .inFlight = 3 } }, .life = 1s });
+  loads.OnReport(start + 500ms, VmId("vm-2"), { .loads = { { .instance = 7, .inFlight = 2 } }, .life = 1s });
   cr_assert(loads.At(7) == 5);
-  loads.OnReport(start + 600ms, VmId("vm-2"), { { .instance = 8, .inFlight = 4 } });
+  loads.OnReport(start + 600ms, VmId("vm-2"), { .loads = { { .instance = 8, .inFlight = 4 } }, .life = 1s });
   cr_assert(loads.At(7) == 3 && loads.At(8) == 4);
   cr_assert(loads.DropExpired(start + 999ms).empty());
   cr_assert(loads.DropExpired(start + 1s) == std::vector<uint32_t>{ 7 });
@@ -41,7 +41,7 @@
         load.inFlight = *rc::gen::inRange<uint16_t>(0, 9);
       }
       loads.DropExpired(now);
-      loads.OnReport(now, VmId(std::to_string(vm)), report);
+      loads.OnReport(now, VmId(std::to_string(vm)), { .loads = report, .life = 1s });
       std::erase_if(oracle, [now](const auto& aIt) { return now - aIt.second.first >= 1s; });
       oracle[vm] = { now, report };
       for (uint32_t instance = 0; instance < 5; ++instance) {
