--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -55,8 +55,10 @@
   asio::awaitable<void> ListVms();
   asio::awaitable<void> AskPeers();
   asio::awaitable<void> AskPeer(Vm aPeer);
-  /// The VMs of the own failure domain that follow the store for the others, this one perhaps among
-  /// them.
+  /// Waits until other VMs have told the state of a kind, or could have.
+  asio::awaitable<void> WaitForSeeds(ObjectKind aKind);
+  std::vector<Vm> KnownBeforeMembership() const;
+  /// The VMs of the own region that follow the store for the others, this one perhaps among them.
   std::vector<Vm> StoreFollowers() const;
   /// Another VM follows the store for this one, and answers.
   bool IsServedByPeer() const;
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -25,10 +25,14 @@
 constexpr Duration kFirstRetryWait = 100ms;
 constexpr Duration kLongestRetryWait = 800ms;
 
-/// VMs of one failure domain that follow the store; the others ask them. Calls to the store are
-/// priced, messages inside a failure domain are not.
+/// VMs of one region that follow the store; the others ask them. Each call to the store is priced
+/// higher than the bytes of a request between failure domains.
 constexpr size_t kStoreFollowers = 2;
 
+/// A starting VM asks the seeds for the state and follows the store itself when none answered for
+/// this long: many VMs start at once.
+constexpr Duration kSeedsFirst = 700ms;
+
 /// A VM that asks others follows the store itself when none answered for this long.
 constexpr Duration kServedLife = 800ms;
 
@@ -202,11 +206,29 @@
   co_return true;
 }
 
+asio::awaitable<void>
+FleetSync::WaitForSeeds(ObjectKind aKind)
+{
+  const bool onlySelf =
+    std::all_of(options_.seeds.begin(), options_.seeds.end(), [this](const Endpoint& aSeed) {
+      return aSeed == options_.self.peers;
+    });
+  const bool isSeed = std::find(options_.seeds.begin(),
+                                options_.seeds.end(),
+                                options_.self.peers) != options_.seeds.end();
+  if (onlySelf || isSeed)
+    co_return;
+  const TimePoint until = ReadClocks().monotonic + kSeedsFirst;
+  while (keeper_.Set(aKind).revision == 0 && ReadClocks().monotonic < until)
+    co_await Sleep(kTickPeriod);
+}
+
 asio::awaitable<void>
 FleetSync::FollowKind(ObjectKind aKind)
 {
   Duration wait = kFirstRetryWait;
   bool listed = false;
+  co_await WaitForSeeds(aKind);
   for (;;) {
     if (keeper_.Set(aKind).revision > 0 && IsServedByPeer()) {
       co_await Sleep(kAskPeriod);
@@ -281,12 +303,12 @@
   if (!membershipStarted_)
     return { options_.self };
   for (const Vm& vm : membership_->LiveNotLeaving()) {
-    if (vm.failureDomain == options_.self.failureDomain)
+    if (vm.region == options_.self.region)
       vms.push_back(vm);
   }
-  const std::string& domain = options_.self.failureDomain.Value();
-  std::sort(vms.begin(), vms.end(), [&domain](const Vm& aLeft, const Vm& aRight) {
-    return RendezvousWeight(domain, aLeft.id.Value()) > RendezvousWeight(domain, aRight.id.Value());
+  const std::string& region = options_.self.region.Value();
+  std::sort(vms.begin(), vms.end(), [&region](const Vm& aLeft, const Vm& aRight) {
+    return RendezvousWeight(region, aLeft.id.Value()) > RendezvousWeight(region, aRight.id.Value());
   });
   vms.resize(std::min(vms.size(), kStoreFollowers));
   return vms;
@@ -306,23 +328,37 @@
 Duration
 FleetSync::PauseBetweenWatches() const
 {
-  std::set<FailureDomainId> domains;
+  std::set<RegionId> regions;
   size_t vms = 0;
   if (membershipStarted_) {
     for (const Vm& vm : membership_->LiveNotLeaving()) {
-      domains.insert(vm.failureDomain);
+      regions.insert(vm.region);
       ++vms;
     }
   }
-  const size_t followers = std::min(vms, domains.size() * kStoreFollowers);
+  const size_t followers = std::min(vms, regions.size() * kStoreFollowers);
   return std::min(kPausePerFollower * static_cast<int64_t>(followers), kLongestPause);
 }
 
+std::vector<Vm>
+FleetSync::KnownBeforeMembership() const
+{
+  std::vector<Vm> vms = registeredVms_;
+  for (const Endpoint& seed : options_.seeds) {
+    Vm vm;
+    vm.peers = seed;
+    vms.push_back(vm);
+  }
+  return vms;
+}
+
 std::optional<Vm>
 FleetSync::ChoosePeer()
 {
   std::vector<Vm> peers;
-  if (StoreReachable()) {
+  if (!membershipStarted_) {
+    peers = KnownBeforeMembership();
+  } else if (StoreReachable()) {
     peers = StoreFollowers();
     const bool follows = std::any_of(
       peers.begin(), peers.end(), [this](const Vm& aVm) { return aVm.id == options_.self.id; });
@@ -330,14 +366,8 @@
       return std::nullopt;
   } else {
     peers = membership_->LiveNotLeaving();
-    if (peers.size() <= 1) {
-      peers.insert(peers.end(), registeredVms_.begin(), registeredVms_.end());
-      for (const Endpoint& seed : options_.seeds) {
-        Vm vm;
-        vm.peers = seed;
-        peers.push_back(vm);
-      }
-    }
+    if (peers.size() <= 1)
+      peers = KnownBeforeMembership();
   }
   std::erase_if(peers, [this](const Vm& aVm) { return aVm.peers == options_.self.peers; });
   if (peers.empty())
@@ -349,9 +379,9 @@
 FleetSync::AskPeers()
 {
   for (;;) {
-    co_await Sleep(kAskPeriod);
     if (const auto peer = ChoosePeer())
       co_await AskPeer(*peer);
+    co_await Sleep(kAskPeriod);
   }
 }
 
