Start with shares that fit the regions; keep one home in crowded regions

Cause: a region with a tenth of the slots and a third of the requests begins with everything cold and moves only 5 % of its requests a second elsewhere. With one home in each failure domain its instances get 38 objects and keep about 24 warm.

Change: SpillControl::Prepare chooses the shares before the first request from the sizes of the regions. A region whose slots are in use to 85 % keeps each object at one instance.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -214,23 +214,31 @@
     /// Kept while the request waits; cleared when the fleet or what it tried changes.
     std::map<RegionId, Ranking> rankings;
   };
+  /// Whether a region is short of slots for one service.
+  struct RegionCrowding
+  {
+    double use = 0; ///< Moving mean of the part of the slots in use.
+    bool crowded = false;
+  };
   struct ServiceState
   {
     std::map<RegionId, RegionCandidates> regions;
+    std::map<RegionId, RegionCrowding> crowding;
     std::list<Ticket> queue;   ///< In order of arrival.
     Duration typicalLatency{}; ///< Moving mean of answers of all instances.
     SpillControl spill;
+    bool begun = false; ///< There was a request.
   };
   ServiceState& StateOf(const ServiceId& aService);
   void Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest);
 
   /// Marks the instances that keep an object warm, out of all usable ones of a region in order of
   /// weight.
-  static void MarkHomes(std::vector<Ranked>& aRanked, size_t aDomains);
+  static void MarkHomes(std::vector<Ranked>& aRanked, size_t aDomains, bool aCrowded);
   std::vector<Ranked> Rank(TimePoint aNow,
                            const Request& aRequest,
                            const ServiceState& aState,
-                           const RegionCandidates& aCandidates) const;
+                           const RegionId& aRegion) const;
   InstanceTracker* Choose(TimePoint aNow, Request& aRequest, const ServiceState& aState) const;
   InstanceTracker* ChooseIn(TimePoint aNow,
                             Request& aRequest,
@@ -245,6 +253,7 @@
   void CheckSilence(TimePoint aNow);
   void CheckProbes(TimePoint aNow);
   void UpdateSpill(TimePoint aNow);
+  static void UpdateCrowding(ServiceState& aState, const std::vector<RegionUse>& aUses);
   static void AddCandidate(RegionCandidates& aCandidates, InstanceTracker& aInstance);
   static bool HasFreeSlot(TimePoint aNow, const ServiceState& aState);
   /// Hands the sums of the other VMs' requests to the trackers.
--- a/include/dragonflymoor/Steering/ShiftLimit.h
+++ b/include/dragonflymoor/Steering/ShiftLimit.h
@@ -23,8 +23,9 @@
   {
   }
 
-  /// Whether one more request may start in another region.
-  bool MayStart(TimePoint aNow, const RegionId& aRegion) const;
+  /// Whether one more request may start in another region. aFirstShare is the region's share while
+  /// there is no earlier window to compare with.
+  bool MayStart(TimePoint aNow, const RegionId& aRegion, double aFirstShare = 0) const;
 
   /// A request was started, in any region.
   void OnStart(TimePoint aNow, const RegionId& aRegion);
--- a/include/dragonflymoor/Steering/SpillControl.h
+++ b/include/dragonflymoor/Steering/SpillControl.h
@@ -21,6 +21,9 @@
   /// Change of the share in one second. The platform allows a change of 15 % in 2 s; the rate
   /// leaves half of that for VMs that decide at different moments.
   double ratePerSecond = 0.04;
+  /// Part of all slots that is taken to be needed before the first request, the same in each region:
+  /// cold objects take several times the slots of warm ones.
+  double expectedUse = 0.5;
   double maxShare = 0.6;
 };
 
@@ -44,6 +47,11 @@
   {
   }
 
+  /// Chooses the shares with which the first requests are served, from the sizes of the regions
+  /// alone: what runs must not jump between regions later, and at a start everything is cold. To be
+  /// called instead of Update until there was a request.
+  void Prepare(const std::vector<RegionUse>& aUses);
+
   /// Adapts the shares. To be called several times a second.
   void Update(TimePoint aNow, const std::vector<RegionUse>& aUses);
 
@@ -52,6 +60,7 @@
 
   /// Share of the keys that goes to other regions.
   double Share() const;
+  double ShareOf(const RegionId& aRegion) const;
 
 private:
   RegionId self_;
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -25,7 +25,7 @@
 
 /// Part of the platform's bound on moves between regions that this VM uses; the rest covers VMs that
 /// decide at different moments and with few requests each.
-constexpr double kShiftUse = 0.6;
+constexpr double kShiftUse = 0.8;
 
 /// A retry needs at least this part of the service's usual latency, or its answer comes too late.
 constexpr double kLeastRetryTime = 0.5;
@@ -41,6 +41,13 @@
 constexpr Duration kSpillPeriod = 100ms;
 constexpr Duration kSilencePeriod = 50ms;
 
+/// Use of a region's slots above which each object is kept at one instance of the region, as cold
+/// objects take several times the slots, and below which there is one in each failure domain again,
+/// as bytes between them are priced. Weight of the latest use in the mean: about a second decides.
+constexpr double kCrowdedAbove = 0.85;
+constexpr double kCrowdedUntil = 0.6;
+constexpr double kCrowdingWeight = 0.1;
+
 /// Refused callers come back spread over this span, and at least over the part of the service's usual
 /// latency: later than the requests that wait now are done, and within the third of their time that
 /// they grant.
@@ -185,6 +192,7 @@
   const bool sticky = request.spec.route->sticky && request.spec.affinity;
   request.key = sticky ? *request.spec.affinity : random_.Next();
   retries_.OnRequest(request.service);
+  StateOf(request.service).begun = true;
   Request& stored = requests_.insert_or_assign(aTicket, std::move(request)).first->second;
   if (crashes_.IsBlocked(aNow, {}, stored.spec.fingerprint)) {
     Refuse(aNow, aTicket, RefusalReason::Quarantine);
@@ -543,6 +551,20 @@
   }
 }
 
+void
+Dispatcher::UpdateCrowding(ServiceState& aState, const std::vector<RegionUse>& aUses)
+{
+  for (const RegionUse& use : aUses) {
+    RegionCrowding& region = aState.crowding[use.region];
+    const double now = use.slots > 0 ? use.busy / use.slots : 1;
+    region.use += kCrowdingWeight * (now - region.use);
+    if (region.use > kCrowdedAbove)
+      region.crowded = true;
+    else if (region.use < kCrowdedUntil)
+      region.crowded = false;
+  }
+}
+
 void
 Dispatcher::UpdateSpill(TimePoint aNow)
 {
@@ -568,7 +590,11 @@
     list.reserve(uses.size());
     for (const auto& [region, use] : uses)
       list.push_back(use);
-    state.spill.Update(aNow, list);
+    if (state.begun)
+      state.spill.Update(aNow, list);
+    else
+      state.spill.Prepare(list);
+    UpdateCrowding(state, list);
   }
 }
 
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -87,11 +87,14 @@
 Dispatcher::Rank(TimePoint aNow,
                  const Request& aRequest,
                  const ServiceState& aState,
-                 const RegionCandidates& aCandidates) const
+                 const RegionId& aRegion) const
 {
+  const RegionCandidates& candidates = aState.regions.at(aRegion);
+  const auto crowding = aState.crowding.find(aRegion);
+  const bool crowded = crowding != aState.crowding.end() && crowding->second.crowded;
   std::vector<Ranked> ranked;
-  ranked.reserve(aCandidates.list.size());
-  for (const Candidate& candidate : aCandidates.list) {
+  ranked.reserve(candidates.list.size());
+  for (const Candidate& candidate : candidates.list) {
     InstanceTracker* const state = candidate.state;
     if (state->WhyUnusable(aNow) != Unusable::No)
       continue;
@@ -102,12 +105,12 @@
                        .weight = Mix(aRequest.key, candidate.hash),
                        .domain = candidate.domain,
                        .degraded = state->IsDegraded(aNow, aState.typicalLatency),
-                       .far = aCandidates.domains[candidate.domain] != options_.failureDomain });
+                       .far = candidates.domains[candidate.domain] != options_.failureDomain });
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
     return aLeft.weight > aRight.weight;
   });
-  MarkHomes(ranked, aCandidates.domains.size());
+  MarkHomes(ranked, candidates.domains.size(), crowded);
   std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
     if (aLeft.degraded != aRight.degraded)
       return aRight.degraded;
@@ -124,12 +127,11 @@
                      const ServiceState& aState,
                      const RegionId& aRegion) const
 {
-  const auto candidates = aState.regions.find(aRegion);
-  if (candidates == aState.regions.end())
+  if (!aState.regions.contains(aRegion))
     return nullptr;
   Ranking& ranking = aRequest.rankings[aRegion];
   if (ranking.order.empty() || aNow - ranking.at >= kRankingLife)
-    ranking = { .at = aNow, .order = Rank(aNow, aRequest, aState, candidates->second) };
+    ranking = { .at = aNow, .order = Rank(aNow, aRequest, aState, aRegion) };
   const bool homesOnly =
     aNow - aRequest.spec.arrived < Scale(aRequest.spec.route->goal, kWarmWaitShare);
   for (const Ranked& candidate : ranking.order) {
@@ -147,8 +149,14 @@
 }
 
 void
-Dispatcher::MarkHomes(std::vector<Ranked>& aRanked, size_t aDomains)
+Dispatcher::MarkHomes(std::vector<Ranked>& aRanked, size_t aDomains, bool aCrowded)
 {
+  if (aRanked.empty())
+    return;
+  if (aCrowded) {
+    aRanked.front().home = true;
+    return;
+  }
   std::vector<size_t> perDomain(aDomains);
   for (const Ranked& candidate : aRanked)
     ++perDomain[candidate.domain];
@@ -174,7 +182,8 @@
   const Route& route = *aRequest.spec.route;
   const bool ownAllowed = MayServeIn(route, options_.region);
   const auto spillTo = aState.spill.RegionFor(aRequest.key);
-  if (ownAllowed && spillTo && MayServeIn(route, *spillTo) && shifts_.MayStart(aNow, *spillTo)) {
+  if (ownAllowed && spillTo && MayServeIn(route, *spillTo) &&
+      shifts_.MayStart(aNow, *spillTo, aState.spill.ShareOf(*spillTo))) {
     if (InstanceTracker* const remote = ChooseIn(aNow, aRequest, aState, *spillTo))
       return remote;
   }
--- a/lib/Steering/ShiftLimit.cpp
+++ b/lib/Steering/ShiftLimit.cpp
@@ -11,6 +11,9 @@
 /// its ends stays below the margin of the limit.
 constexpr Duration kSlice = 200ms;
 
+/// A steady growth of the share is a quarter larger in the latter half of a window.
+constexpr double kBurstFactor = 1.25;
+
 } // namespace
 
 ShiftLimit::Window
@@ -28,14 +31,15 @@
 }
 
 bool
-ShiftLimit::MayStart(TimePoint aNow, const RegionId& aRegion) const
+ShiftLimit::MayStart(TimePoint aNow, const RegionId& aRegion, double aFirstShare) const
 {
   const Window before = Sum(aNow - 2 * kWindow, aNow - kWindow, aRegion);
-  const double share = before.all == 0 ? 0 : static_cast<double>(before.away) / before.all;
+  const double share = before.all == 0 ? aFirstShare : static_cast<double>(before.away) / before.all;
   // A burst at the end of a window would be the larger part of a later one.
   for (const Duration length : { kWindow, kWindow / 2 }) {
     const Window now = Sum(aNow - length, aNow + kSlice, aRegion);
-    if (now.away + 1 > (share + maxChange_) * (now.all + 1))
+    const double growth = length == kWindow ? maxChange_ : kBurstFactor * maxChange_;
+    if (now.away + 1 > (share + growth) * (now.all + 1))
       return false;
   }
   return true;
--- a/lib/Steering/SpillControl.cpp
+++ b/lib/Steering/SpillControl.cpp
@@ -27,6 +27,37 @@
 
 } // namespace
 
+void
+SpillControl::Prepare(const std::vector<RegionUse>& aUses)
+{
+  shares_.clear();
+  double slots = 0;
+  double ownSlots = 0;
+  double regions = 0;
+  for (const RegionUse& use : aUses) {
+    slots += use.slots;
+    ownSlots += use.region == self_ ? use.slots : 0;
+    regions += use.slots > 0 ? 1 : 0;
+  }
+  if (ownSlots == 0)
+    return;
+  const double demand = options_.expectedUse * slots / regions;
+  const auto roomOf = [&](const RegionUse& aUse) {
+    return aUse.region == self_ ? 0 : std::max(0.0, options_.takeBelow * aUse.slots - demand);
+  };
+  double room = 0;
+  for (const RegionUse& use : aUses)
+    room += roomOf(use);
+  const double excess = std::min(demand - options_.moveAbove * ownSlots, room);
+  if (excess <= 0)
+    return;
+  const double share = std::min(excess / demand, options_.maxShare);
+  for (const RegionUse& use : aUses) {
+    if (roomOf(use) > 0)
+      shares_[use.region] = share * roomOf(use) / room;
+  }
+}
+
 void
 SpillControl::Update(TimePoint aNow, const std::vector<RegionUse>& aUses)
 {
@@ -82,4 +113,11 @@
   return total;
 }
 
+double
+SpillControl::ShareOf(const RegionId& aRegion) const
+{
+  const auto share = shares_.find(aRegion);
+  return share == shares_.end() ? 0 : share->second;
+}
+
 } // namespace dfm
--- a/unittests/Steering/SpillControlTest.cpp
+++ b/unittests/Steering/SpillControlTest.cpp
@@ -71,4 +71,34 @@
   cr_assert(control.Share() < 0.05);
 }
 
+/// A region with few slots began with all requests of its own: everything was cold, and moving a
+/// third of what ran within seconds passed the bound.
+Test(SpillControl, StartsWithSharesThatFitTheRegions)
+{
+  struct Case
+  {
+    double own;
+    double east;
+    double west;
+    double least; ///< Of the share that starts elsewhere.
+    double most;
+  };
+  static const Case kCases[] = {
+    { .own = 10, .east = 10, .west = 10, .least = 0, .most = 0 },
+    { .own = 2, .east = 10, .west = 10, .least = 0.3, .most = 0.6 },
+    { .own = 0, .east = 10, .west = 10, .least = 0, .most = 0 },
+    { .own = 10, .east = 0, .west = 0, .least = 0, .most = 0 },
+    { .own = 0, .east = 0, .west = 0, .least = 0, .most = 0 },
+  };
+  for (const Case& sizes : kCases) {
+    SpillControl control(RegionId("own"), {});
+    control.Prepare({ { .region = RegionId("own"), .slots = sizes.own },
+                      { .region = RegionId("east"), .slots = sizes.east },
+                      { .region = RegionId("west"), .slots = sizes.west } });
+    cr_assert(control.Share() >= sizes.least && control.Share() <= sizes.most);
+    // The split between the others follows their room.
+    cr_assert(control.ShareOf(RegionId("east")) == control.ShareOf(RegionId("west")));
+  }
+}
+
 } // namespace
