Warm each object at one instance of the region first

Change: at a start each object has one home in the region. Homes in each failure domain follow for 5 % of the objects a second while slots are free, and are given up at 10 % a second in a crowded region with many objects an instance.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -216,16 +216,18 @@
     /// Kept while the request waits; cleared when the fleet or what it tried changes.
     std::map<RegionId, Ranking> rankings;
   };
-  /// Whether a region is short of slots for one service.
-  struct RegionCrowding
+  /// How one service's objects are spread over the instances of a region.
+  struct RegionSpread
   {
     double use = 0; ///< Moving mean of the part of the slots in use.
-    bool crowded = false;
+    /// Part of the objects that have a home in each failure domain; the others have one in the
+    /// region.
+    double share = 0;
   };
   struct ServiceState
   {
     std::map<RegionId, RegionCandidates> regions;
-    std::map<RegionId, RegionCrowding> crowding;
+    std::map<RegionId, RegionSpread> spreads;
     std::list<Ticket> queue;   ///< In order of arrival.
     Duration typicalLatency{}; ///< Moving mean of answers of all instances.
     Duration longestGoal{};    ///< Of its routes that had requests.
@@ -257,7 +259,7 @@
   void CheckSilence(TimePoint aNow);
   void CheckProbes(TimePoint aNow);
   void UpdateSpill(TimePoint aNow);
-  static void UpdateCrowding(ServiceState& aState, const std::vector<RegionUse>& aUses);
+  static void UpdateSpreads(ServiceState& aState, const std::vector<RegionUse>& aUses);
   static void AddCandidate(RegionCandidates& aCandidates, InstanceTracker& aInstance);
   static bool HasFreeSlot(TimePoint aNow, const ServiceState& aState);
   /// Hands the sums of the other VMs' requests to the trackers.
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -45,12 +45,20 @@
 constexpr Duration kSpillPeriod = 100ms;
 constexpr Duration kSilencePeriod = 50ms;
 
-/// Use of a region's slots above which each object is kept at one instance of the region, as cold
-/// objects take several times the slots, and below which there is one in each failure domain again,
-/// as bytes between them are priced. Weight of the latest use in the mean: about a second decides.
+/// Use of a region's slots above which it is short of them, and below which it is not. Weight of the
+/// latest use in the mean: about a second decides.
 constexpr double kCrowdedAbove = 0.85;
 constexpr double kCrowdedUntil = 0.6;
-constexpr double kCrowdingWeight = 0.1;
+constexpr double kUseWeight = 0.1;
+
+/// Objects for each instance from which on hashing loads the instances evenly, so that a region that
+/// is short of slots can keep each object at one of them. With fewer it needs several homes.
+constexpr double kObjectsPerInstance = 6;
+
+/// Part of the objects that get, or lose, a home in each failure domain in one second. Each new home
+/// serves its first request cold, which takes several times the slots.
+constexpr double kSpreadRate = 0.05;
+constexpr double kGatherRate = 0.1;
 
 /// Refused callers come back spread over this span, and at least over the part of the service's usual
 /// latency: later than the requests that wait now are done, and within the third of their time that
@@ -563,16 +571,22 @@
 }
 
 void
-Dispatcher::UpdateCrowding(ServiceState& aState, const std::vector<RegionUse>& aUses)
+Dispatcher::UpdateSpreads(ServiceState& aState, const std::vector<RegionUse>& aUses)
 {
+  const double step = ToSeconds(kSpillPeriod);
   for (const RegionUse& use : aUses) {
-    RegionCrowding& region = aState.crowding[use.region];
+    const auto region = aState.regions.find(use.region);
+    if (region == aState.regions.end() || !aState.begun)
+      continue;
+    RegionSpread& spread = aState.spreads[use.region];
     const double now = use.slots > 0 ? use.busy / use.slots : 1;
-    region.use += kCrowdingWeight * (now - region.use);
-    if (region.use > kCrowdedAbove)
-      region.crowded = true;
-    else if (region.use < kCrowdedUntil)
-      region.crowded = false;
+    spread.use += kUseWeight * (now - spread.use);
+    const auto instances = static_cast<double>(region->second.list.size());
+    const bool even = aState.objects.Estimate() >= kObjectsPerInstance * instances;
+    if (spread.use > kCrowdedAbove && even)
+      spread.share = std::max(0.0, spread.share - kGatherRate * step);
+    else if (spread.use > kCrowdedAbove || spread.use < kCrowdedUntil)
+      spread.share = std::min(1.0, spread.share + kSpreadRate * step);
   }
 }
 
@@ -605,7 +619,7 @@
       state.spill.Update(aNow, list);
     else
       state.spill.Prepare(list);
-    UpdateCrowding(state, list);
+    UpdateSpreads(state, list);
   }
 }
 
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -16,10 +16,6 @@
 /// half of the objects of a region warm.
 constexpr size_t kObjectParts = 2;
 
-/// A crowded region keeps each object at one instance only where an instance gets at least so many
-/// objects: with fewer, some instances would be overloaded and others idle.
-constexpr double kObjectsPerInstance = 6;
-
 /// Instances of a region that keep one object warm when they are not chosen for each failure
 /// domain.
 constexpr size_t kMostHomes = 2;
@@ -46,6 +42,14 @@
   return value ^ (value >> 31);
 }
 
+/// Position of a key in [0, 1).
+double
+PositionOf(uint64_t aKey)
+{
+  constexpr double kRange = 18446744073709551616.0; // 2^64
+  return static_cast<double>(Mix(aKey, 0)) / kRange;
+}
+
 } // namespace
 
 double
@@ -94,10 +98,9 @@
                  const RegionId& aRegion) const
 {
   const RegionCandidates& candidates = aState.regions.at(aRegion);
-  const auto crowding = aState.crowding.find(aRegion);
+  const auto spread = aState.spreads.find(aRegion);
   const bool onePerRegion =
-    crowding != aState.crowding.end() && crowding->second.crowded &&
-    aState.objects.Estimate() >= kObjectsPerInstance * static_cast<double>(candidates.list.size());
+    spread == aState.spreads.end() || PositionOf(aRequest.key) >= spread->second.share;
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.list.size());
   for (const Candidate& candidate : candidates.list) {
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -276,23 +276,33 @@
 }
 
 /// Objects of a region with two instances in each failure domain were kept at every instance, so
-/// that none stayed warm (worth 0.683 instead of 0.803 on a calm day).
-Test(Dispatcher, KeepsAnObjectAtOneInstanceOfTheFailureDomain)
+/// that none stayed warm (worth 0.683 instead of 0.803 on a calm day). At a start they were kept at
+/// one instance of each failure domain, each of which served its first requests cold.
+Test(Dispatcher, KeepsAnObjectAtOneInstanceOfTheRegionThenOfTheFailureDomain)
 {
   DispatcherFixture fixture;
   fixture.SetFleet({ { .id = "i-1" },
                      { .id = "i-2" },
                      { .id = "i-3", .domain = "north-b" },
                      { .id = "i-4", .domain = "north-b" } });
-  for (uint64_t key = 0; key < 50; ++key) {
+  const auto serve = [&fixture](uint64_t aKey) {
     std::set<std::string> served;
     for (int i = 0; i < 3; ++i) {
-      const Ticket ticket = fixture.Submit({}, key);
+      const Ticket ticket = fixture.Submit({}, aKey);
       served.insert(fixture.running.at(ticket).instance.Value());
       fixture.End(ticket, Kind::Answered, 200);
     }
     cr_assert(served.size() == 1);
-    cr_assert(served.contains("i-1") || served.contains("i-2"));
+    return *served.begin();
+  };
+  std::set<std::string> atStart;
+  for (uint64_t key = 0; key < 50; ++key)
+    atStart.insert(serve(key));
+  cr_assert(atStart.size() == 4);
+  fixture.Advance(25s);
+  for (uint64_t key = 0; key < 50; ++key) {
+    const std::string instance = serve(key);
+    cr_assert(instance == "i-1" || instance == "i-2");
   }
 }
 
