Count only the word of VMs that call the store themselves

Cause: a VM that was served by another one vouched for the store, so that two VMs could rely on each other; membership knows few VMs at first, so that most take themselves for followers (1,150 calls before the first request).

Change: only own calls count. Until membership has settled, seeds are asked. The time to come back after a refusal is as before: longer ones did not save second refusals.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -57,9 +57,11 @@
   asio::awaitable<void> AskPeer(Vm aPeer);
   /// Waits until other VMs have told the state of a kind, or could have.
   asio::awaitable<void> WaitForSeeds(ObjectKind aKind);
-  std::vector<Vm> KnownBeforeMembership() const;
+  std::vector<Vm> Seeds() const;
   /// The VMs of the own region that follow the store for the others, this one perhaps among them.
   std::vector<Vm> StoreFollowers() const;
+  /// Membership has had the time to learn of the other VMs.
+  bool IsSettled() const;
   bool IsFollower() const;
   /// Another VM follows the store for this one, and answers.
   bool IsServedByPeer() const;
@@ -89,7 +91,9 @@
   DatagramSocket datagrams_;
   tcp::acceptor acceptor_;
   std::unique_ptr<Membership> membership_;
+  TimePoint seedsFirstUntil_; ///< Until then a VM that knows nothing relies on the seeds alone.
   bool membershipStarted_ = false; ///< This VM takes part only once it can serve.
+  std::optional<TimePoint> membershipStartedAt_;
   uint64_t publishedEpoch_ = 0;
   bool viewChanged_ = false; ///< Since the view was published.
   std::array<bool, kObjectKindCount> reachable_{}; ///< The last call for each kind succeeded.
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -170,8 +170,8 @@
   std::vector<InstanceLoad> OwnLoad() const;
   size_t Waiting() const;
   size_t InFlight() const;
-  /// When a refused request may come back, if the service answers after aUsualLatency.
-  Duration RetryAfter(Duration aUsualLatency = {});
+  /// When a refused request may come back.
+  Duration RetryAfter();
 
 private:
   /// One instance of a service.
--- a/include/dragonflymoor/Steering/PeerMessages.h
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -42,7 +42,7 @@
   };
   /// The store answers the sender, and has for long enough that lapsed entries are back.
   bool storeSteady = false;
-  /// The store answers the sender.
+  /// The store answers the sender's own calls.
   bool storeReachable = false;
   std::vector<Kind> kinds;
 
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -33,7 +33,7 @@
 /// higher than the bytes of a request between failure domains.
 constexpr size_t kStoreFollowers = 2;
 
-/// A starting VM asks the seeds for the state and follows the store itself when none answered for
+/// A starting VM asks the seeds for the state, and follows the store itself when none answered for
 /// this long: many VMs start at once.
 constexpr Duration kSeedsFirst = 700ms;
 
@@ -46,6 +46,10 @@
 constexpr Duration kPausePerFollower = 10ms;
 constexpr Duration kLongestPause = 400ms;
 
+/// After the start of membership a VM knows only some of the others, and would take itself for a
+/// follower. So long it follows the store only when nobody else tells it the state.
+constexpr Duration kSettleTime = 3s;
+
 /// How often another VM is asked for the state, by a VM that does not follow the store and while
 /// the store does not answer.
 constexpr Duration kAskPeriod = 200ms;
@@ -156,6 +160,7 @@
 void
 FleetSync::Start()
 {
+  seedsFirstUntil_ = ReadClocks().monotonic + kSeedsFirst;
   for (size_t i = 0; i < kObjectKindCount; ++i)
     asio::co_spawn(context_, FollowKind(static_cast<ObjectKind>(i)), asio::detached);
   asio::co_spawn(context_, Register(), asio::detached);
@@ -223,8 +228,7 @@
                                 options_.self.peers) != options_.seeds.end();
   if (onlySelf || isSeed)
     co_return;
-  const TimePoint until = ReadClocks().monotonic + kSeedsFirst;
-  while (keeper_.Set(aKind).revision == 0 && ReadClocks().monotonic < until)
+  while (keeper_.Set(aKind).revision == 0 && ReadClocks().monotonic < seedsFirstUntil_)
     co_await Sleep(kTickPeriod);
 }
 
@@ -327,9 +331,17 @@
          !IsFollower();
 }
 
+bool
+FleetSync::IsSettled() const
+{
+  return membershipStartedAt_ && ReadClocks().monotonic - *membershipStartedAt_ >= kSettleTime;
+}
+
 bool
 FleetSync::IsFollower() const
 {
+  if (!IsSettled())
+    return false;
   const auto followers = StoreFollowers();
   return std::any_of(followers.begin(), followers.end(), [this](const Vm& aVm) {
     return aVm.id == options_.self.id;
@@ -352,9 +364,9 @@
 }
 
 std::vector<Vm>
-FleetSync::KnownBeforeMembership() const
+FleetSync::Seeds() const
 {
-  std::vector<Vm> vms = registeredVms_;
+  std::vector<Vm> vms;
   for (const Endpoint& seed : options_.seeds) {
     Vm vm;
     vm.peers = seed;
@@ -367,16 +379,18 @@
 FleetSync::ChoosePeer()
 {
   std::vector<Vm> peers;
-  if (!membershipStarted_) {
-    peers = KnownBeforeMembership();
-  } else if (StoreReachable()) {
+  if (StoreReachable()) {
     if (IsFollower())
       return std::nullopt;
-    peers = StoreFollowers();
+    peers = IsSettled() ? StoreFollowers() : Seeds();
+  } else if (!everReached_ && ReadClocks().monotonic < seedsFirstUntil_) {
+    peers = Seeds();
   } else {
     peers = membership_->LiveNotLeaving();
-    if (peers.size() <= 1)
-      peers = KnownBeforeMembership();
+    if (peers.size() <= 1) {
+      peers = Seeds();
+      peers.insert(peers.end(), registeredVms_.begin(), registeredVms_.end());
+    }
   }
   std::erase_if(peers, [this](const Vm& aVm) { return aVm.peers == options_.self.peers; });
   if (peers.empty())
@@ -474,9 +488,11 @@
 StateReply
 FleetSync::ReplyTo(const StateRequest& aRequest) const
 {
+  // Only the word of a VM that calls the store itself counts: two VMs must not rely on each other.
+  const bool reachable = StoreReachable() && !IsServedByPeer();
   StateReply reply{ .storeSteady =
-                      StoreReachable() && keeper_.IsStoreSteady(ReadClocks().monotonic),
-                    .storeReachable = StoreReachable() };
+                      reachable && keeper_.IsStoreSteady(ReadClocks().monotonic),
+                    .storeReachable = reachable };
   for (size_t i = 0; i < kObjectKindCount; ++i) {
     const auto kind = static_cast<ObjectKind>(i);
     const ObjectSet& set = keeper_.Set(kind);
@@ -556,6 +572,7 @@
 FleetSync::StartMembership()
 {
   membershipStarted_ = true;
+  membershipStartedAt_ = ReadClocks().monotonic;
   membership_->Start(ReadClocks());
   if (!registeredVms_.empty())
     TellRegisteredVms();
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -60,13 +60,10 @@
 constexpr double kSpreadRate = 0.05;
 constexpr double kGatherRate = 0.1;
 
-/// Refused callers come back spread over this span, and at least over the part of the service's usual
-/// latency: later than the requests that wait now are done, and within the third of their time that
-/// they grant.
+/// Refused callers come back spread over this span: later than the requests that wait now are done,
+/// and within the third of their time that they grant.
 constexpr Duration kRetryAfterLow = 150ms;
 constexpr Duration kRetryAfterHigh = 400ms;
-constexpr double kRetryAfterLowShare = 0.4;
-constexpr double kRetryAfterHighShare = 1.2;
 
 /// Weight of the latest answer in a service's mean latency; some dozens of answers decide.
 constexpr double kLatencyWeight = 0.03;
@@ -268,7 +265,7 @@
   assert(found != requests_.end() && "only a known request is refused");
   const ServiceState& state = StateOf(found->second.service);
   RequestRefusal refusal{ .reason = aReason,
-                          .retryAfter = RetryAfter(state.typicalLatency),
+                          .retryAfter = RetryAfter(),
                           .waited = aNow - found->second.spec.arrived,
                           .service = found->second.service,
                           .waiting = state.queue.size() };
@@ -286,10 +283,9 @@
 }
 
 Duration
-Dispatcher::RetryAfter(Duration aUsualLatency)
+Dispatcher::RetryAfter()
 {
-  return random_.Between(std::max(kRetryAfterLow, Scale(aUsualLatency, kRetryAfterLowShare)),
-                         std::max(kRetryAfterHigh, Scale(aUsualLatency, kRetryAfterHighShare)));
+  return random_.Between(kRetryAfterLow, kRetryAfterHigh);
 }
 
 std::vector<Ticket>
