Let seeds follow the store until membership has settled

Cause: two of three seeds were served by the third one and did not vouch; the others asked a random seed, and a third of them heard no word in 800 ms.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -60,6 +60,7 @@
   std::vector<Vm> Seeds() const;
   /// The VMs of the own region that follow the store for the others, this one perhaps among them.
   std::vector<Vm> StoreFollowers() const;
+  bool IsSeed() const;
   /// Membership has had the time to learn of the other VMs.
   bool IsSettled() const;
   bool IsFollower() const;
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -47,7 +47,7 @@
 constexpr Duration kLongestPause = 400ms;
 
 /// After the start of membership a VM knows only some of the others, and would take itself for a
-/// follower. So long it follows the store only when nobody else tells it the state.
+/// follower. So long the seeds follow the store, and the others only when no seed tells the state.
 constexpr Duration kSettleTime = 3s;
 
 /// How often another VM is asked for the state, by a VM that does not follow the store and while
@@ -219,14 +219,7 @@
 asio::awaitable<void>
 FleetSync::WaitForSeeds(ObjectKind aKind)
 {
-  const bool onlySelf =
-    std::all_of(options_.seeds.begin(), options_.seeds.end(), [this](const Endpoint& aSeed) {
-      return aSeed == options_.self.peers;
-    });
-  const bool isSeed = std::find(options_.seeds.begin(),
-                                options_.seeds.end(),
-                                options_.self.peers) != options_.seeds.end();
-  if (onlySelf || isSeed)
+  if (options_.seeds.empty() || IsSeed())
     co_return;
   while (keeper_.Set(aKind).revision == 0 && ReadClocks().monotonic < seedsFirstUntil_)
     co_await Sleep(kTickPeriod);
@@ -331,6 +324,13 @@
          !IsFollower();
 }
 
+bool
+FleetSync::IsSeed() const
+{
+  return std::find(options_.seeds.begin(), options_.seeds.end(), options_.self.peers) !=
+         options_.seeds.end();
+}
+
 bool
 FleetSync::IsSettled() const
 {
@@ -341,7 +341,7 @@
 FleetSync::IsFollower() const
 {
   if (!IsSettled())
-    return false;
+    return IsSeed();
   const auto followers = StoreFollowers();
   return std::any_of(followers.begin(), followers.end(), [this](const Vm& aVm) {
     return aVm.id == options_.self.id;
