--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -57,7 +57,7 @@
 
 /// Part of the objects that get, or lose, a home in each failure domain in one second. Each new home
 /// serves its first request cold, which takes several times the slots.
-constexpr double kSpreadRate = 0.05;
+constexpr double kSpreadRate = 0.1;
 constexpr double kGatherRate = 0.1;
 
 /// Refused callers come back spread over this span: later than the requests that wait now are done,
