--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -6,9 +6,8 @@
 #include "dragonflymoor/Metrics/Metrics.h"
 #include "dragonflymoor/Net/DatagramSocket.h"
 #include "dragonflymoor/Net/FrameConnection.h"
-#include "dragonflymoor/Steering/FleetKeeper.h"
 #include "dragonflymoor/Steering/PeerMessages.h"
-#include <array>
+#include "dragonflymoor/Steering/StoreFollowing.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -54,26 +53,12 @@
   asio::awaitable<void> Register();
   asio::awaitable<void> ListVms();
   asio::awaitable<void> AskPeers();
-  asio::awaitable<void> AskPeer(Vm aPeer);
-  /// Waits until other VMs have told the state of a kind, or could have.
-  asio::awaitable<void> WaitForSeeds(ObjectKind aKind);
-  std::vector<Vm> Seeds() const;
-  /// The VMs of the own region that follow the store for the others, this one perhaps among them.
-  std::vector<Vm> StoreFollowers() const;
-  bool IsSeed() const;
-  /// Membership has had the time to learn of the other VMs.
-  bool IsSettled() const;
-  bool IsFollower() const;
-  /// Another VM follows the store for this one, and answers.
-  bool IsServedByPeer() const;
-  /// Another VM answered that the store answers it.
-  void OnServed(TimePoint aNow);
-  Duration PauseBetweenWatches() const;
+  asio::awaitable<void> AskPeer(Endpoint aPeer);
   asio::awaitable<void> AcceptPeers();
   asio::awaitable<void> Tick();
+  /// Tells the keeper whether the store can be reached now.
+  void OnStoreReachable(std::string_view aMessage);
   void OnStoreAnswer(ObjectKind aKind, const std::optional<StoreError>& aError);
-  bool StoreReachable() const;
-  std::optional<Vm> ChoosePeer();
   StateReply ReplyTo(const StateRequest& aRequest) const;
   void OnState(const VmId& aFrom, const StateReply& aReply);
   void StartMembership();
@@ -88,20 +73,15 @@
   Metrics& metrics_;
   Publish publish_;
   FleetKeeper keeper_;
+  StoreFollowing following_;
   Random random_;
   DatagramSocket datagrams_;
   tcp::acceptor acceptor_;
   std::unique_ptr<Membership> membership_;
-  TimePoint seedsFirstUntil_; ///< Until then a VM that knows nothing relies on the seeds alone.
   bool membershipStarted_ = false; ///< This VM takes part only once it can serve.
-  std::optional<TimePoint> membershipStartedAt_;
   uint64_t publishedEpoch_ = 0;
   bool viewChanged_ = false; ///< Since the view was published.
-  std::array<bool, kObjectKindCount> reachable_{}; ///< The last call for each kind succeeded.
-  bool everReached_ = false; ///< This VM, or one that served it, reached the store.
   std::vector<Vm> registeredVms_;
-  /// When a VM that follows the store for this one last answered that the store is steady.
-  std::optional<TimePoint> servedAt_;
   bool stopping_ = false;
 };
 
--- a/include/dragonflymoor/Gateway/LoadExchange.h
+++ b/include/dragonflymoor/Gateway/LoadExchange.h
@@ -30,7 +30,7 @@
   /// VMs that hear the load equally often.
   struct Group
   {
-    Duration basePeriod{};      ///< Between two reports, with few receivers.
+    Duration basePeriod{};        ///< Between two reports, with few receivers.
     size_t fullRateReceivers = 1; ///< With more the period grows in proportion.
     std::vector<asio::ip::udp::endpoint> targets;
     Duration period{};
--- a/include/dragonflymoor/Steering/SpillControl.h
+++ b/include/dragonflymoor/Steering/SpillControl.h
@@ -21,8 +21,8 @@
   /// Change of the share in one second. The platform allows a change of 15 % in 2 s; the rate
   /// leaves half of that for VMs that decide at different moments.
   double ratePerSecond = 0.04;
-  /// Part of all slots that is taken to be needed before the first request, the same in each region:
-  /// cold objects take several times the slots of warm ones.
+  /// Part of all slots that is taken to be needed before the first request, the same in each
+  /// region: cold objects take several times the slots of warm ones.
   double expectedUse = 0.5;
   double maxShare = 0.6;
 };
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -2,13 +2,11 @@
 
 #include "dragonflymoor/Net/Clock.h"
 #include "dragonflymoor/Net/Listen.h"
-#include "dragonflymoor/Support/Hash.h"
 #include "dragonflymoor/Support/Log.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
-#include <set>
 
 namespace dfm {
 
@@ -20,35 +18,12 @@
 /// time to repeat the call within the bounds for configuration and drains.
 constexpr Duration kWatchWait = 3s;
 
-/// Wait between two calls to a store that does not answer: at most this, doubled from the first
-/// one. The store's rate is shared by all VMs.
+/// Wait after the first call that failed; each further one doubles it.
 constexpr Duration kFirstRetryWait = 100ms;
-constexpr Duration kLongestRetryWait = 800ms;
 
-/// The same for VMs that usually ask others: each call is priced, and the followers see the store's
-/// return first.
-constexpr Duration kLongestNonFollowerWait = 2400ms;
-
-/// VMs of one region that follow the store; the others ask them. Each call to the store is priced
-/// higher than the bytes of a request between failure domains.
-constexpr size_t kStoreFollowers = 2;
-
-/// A starting VM asks the seeds for the state, and follows the store itself when none answered for
-/// this long: many VMs start at once.
-constexpr Duration kSeedsFirst = 700ms;
-
-/// A VM that asks others follows the store itself when none answered for this long.
-constexpr Duration kServedLife = 800ms;
-
-/// Pause between two watches of one kind for each VM that follows the store, and the longest: a
-/// burst of changes comes in a few answers instead of one each. The longest leaves most of the 2.5
-/// s within which changes must be in force.
-constexpr Duration kPausePerFollower = 10ms;
-constexpr Duration kLongestPause = 400ms;
-
-/// After the start of membership a VM knows only some of the others, and would take itself for a
-/// follower. So long the seeds follow the store, and the others only when no seed tells the state.
-constexpr Duration kSettleTime = 3s;
+/// Longest wait between two tries to register this VM. Others reach it through the list of
+/// registered VMs only when membership has lost it.
+constexpr Duration kLongestRegisterWait = 800ms;
 
 /// How often another VM is asked for the state, by a VM that does not follow the store and while
 /// the store does not answer.
@@ -114,6 +89,8 @@
   , metrics_(aMetrics)
   , publish_(std::move(aPublish))
   , keeper_(std::move(aDecoders), MakeKeeperHooks(aMetrics))
+  , following_(
+      { .self = options_.self, .seeds = options_.seeds, .startedAt = ReadClocks().monotonic })
   , random_(options_.randomSeed)
   , datagrams_(
       aContext,
@@ -160,7 +137,6 @@
 void
 FleetSync::Start()
 {
-  seedsFirstUntil_ = ReadClocks().monotonic + kSeedsFirst;
   for (size_t i = 0; i < kObjectKindCount; ++i)
     asio::co_spawn(context_, FollowKind(static_cast<ObjectKind>(i)), asio::detached);
   asio::co_spawn(context_, Register(), asio::detached);
@@ -176,17 +152,9 @@
   co_await timer.async_wait(kAwaitTuple);
 }
 
-bool
-FleetSync::StoreReachable() const
-{
-  return std::all_of(reachable_.begin(), reachable_.end(), [](bool aIt) { return aIt; });
-}
-
 void
 FleetSync::OnStoreAnswer(ObjectKind aKind, const std::optional<StoreError>& aError)
 {
-  const bool before = StoreReachable();
-  reachable_[static_cast<size_t>(aKind)] = !aError;
   if (aError) {
     metrics_.Count("store-calls-failed", Reason::StoreUnavailable);
     Log(LogLevel::Warning,
@@ -194,12 +162,17 @@
         "store call failed",
         { { "kind", std::string(ToString(aKind)) }, { "error", aError->message } });
   }
-  everReached_ = everReached_ || StoreReachable();
-  if (before == StoreReachable())
-    return;
-  Log(LogLevel::Info, kComponent, before ? "store lost" : "store regained");
-  metrics_.SetGauge("store_reachable", before ? 0 : 1);
-  keeper_.OnStoreReachable(ReadClocks().monotonic, !before);
+  if (following_.OnCall(aKind, !aError))
+    OnStoreReachable(following_.Reachable() ? "store regained" : "store lost");
+}
+
+void
+FleetSync::OnStoreReachable(std::string_view aMessage)
+{
+  const bool reachable = following_.Reachable();
+  Log(LogLevel::Info, kComponent, aMessage);
+  metrics_.SetGauge("store_reachable", reachable ? 1 : 0);
+  keeper_.OnStoreReachable(ReadClocks().monotonic, reachable);
 }
 
 asio::awaitable<bool>
@@ -216,23 +189,15 @@
   co_return true;
 }
 
-asio::awaitable<void>
-FleetSync::WaitForSeeds(ObjectKind aKind)
-{
-  if (options_.seeds.empty() || IsSeed())
-    co_return;
-  while (keeper_.Set(aKind).revision == 0 && ReadClocks().monotonic < seedsFirstUntil_)
-    co_await Sleep(kTickPeriod);
-}
-
 asio::awaitable<void>
 FleetSync::FollowKind(ObjectKind aKind)
 {
   Duration wait = kFirstRetryWait;
   bool listed = false;
-  co_await WaitForSeeds(aKind);
+  while (keeper_.Set(aKind).revision == 0 && following_.WaitsForSeeds(ReadClocks().monotonic))
+    co_await Sleep(kTickPeriod);
   for (;;) {
-    if (keeper_.Set(aKind).revision > 0 && IsServedByPeer()) {
+    if (keeper_.Set(aKind).revision > 0 && following_.IsServed(ReadClocks().monotonic)) {
       co_await Sleep(kAskPeriod);
       continue;
     }
@@ -246,7 +211,7 @@
         wait = kFirstRetryWait;
         if (!changes->changes.empty()) {
           viewChanged_ = true;
-          co_await Sleep(PauseBetweenWatches());
+          co_await Sleep(following_.PauseBetweenWatches());
         }
         continue;
       }
@@ -262,7 +227,7 @@
       continue;
     }
     co_await Sleep(wait);
-    wait = std::min(2 * wait, IsFollower() ? kLongestRetryWait : kLongestNonFollowerWait);
+    wait = std::min(2 * wait, following_.LongestRetryWait(ReadClocks().monotonic));
   }
 }
 
@@ -277,7 +242,7 @@
     Log(
       LogLevel::Warning, kComponent, "not registered", { { "error", registered.error().message } });
     co_await Sleep(wait);
-    wait = std::min(2 * wait, kLongestRetryWait);
+    wait = std::min(2 * wait, kLongestRegisterWait);
   }
   while (!stopping_) {
     co_await ListVms();
@@ -298,118 +263,19 @@
     TellRegisteredVms();
 }
 
-std::vector<Vm>
-FleetSync::StoreFollowers() const
-{
-  std::vector<Vm> vms;
-  if (!membershipStarted_)
-    return { options_.self };
-  for (const Vm& vm : membership_->LiveNotLeaving()) {
-    if (vm.region == options_.self.region)
-      vms.push_back(vm);
-  }
-  const std::string& region = options_.self.region.Value();
-  std::sort(vms.begin(), vms.end(), [&region](const Vm& aLeft, const Vm& aRight) {
-    return RendezvousWeight(region, aLeft.id.Value()) > RendezvousWeight(region, aRight.id.Value());
-  });
-  vms.resize(std::min(vms.size(), kStoreFollowers));
-  return vms;
-}
-
-bool
-FleetSync::IsServedByPeer() const
-{
-  // After a loss of its own this VM makes sure that the store answers it again.
-  return StoreReachable() && servedAt_ && ReadClocks().monotonic - *servedAt_ < kServedLife &&
-         !IsFollower();
-}
-
-bool
-FleetSync::IsSeed() const
-{
-  return std::find(options_.seeds.begin(), options_.seeds.end(), options_.self.peers) !=
-         options_.seeds.end();
-}
-
-bool
-FleetSync::IsSettled() const
-{
-  return membershipStartedAt_ && ReadClocks().monotonic - *membershipStartedAt_ >= kSettleTime;
-}
-
-bool
-FleetSync::IsFollower() const
-{
-  if (!IsSettled())
-    return IsSeed();
-  const auto followers = StoreFollowers();
-  return std::any_of(followers.begin(), followers.end(), [this](const Vm& aVm) {
-    return aVm.id == options_.self.id;
-  });
-}
-
-Duration
-FleetSync::PauseBetweenWatches() const
-{
-  std::set<RegionId> regions;
-  size_t vms = 0;
-  if (membershipStarted_) {
-    for (const Vm& vm : membership_->LiveNotLeaving()) {
-      regions.insert(vm.region);
-      ++vms;
-    }
-  }
-  const size_t followers = std::min(vms, regions.size() * kStoreFollowers);
-  return std::min(kPausePerFollower * static_cast<int64_t>(followers), kLongestPause);
-}
-
-std::vector<Vm>
-FleetSync::Seeds() const
-{
-  std::vector<Vm> vms;
-  for (const Endpoint& seed : options_.seeds) {
-    Vm vm;
-    vm.peers = seed;
-    vms.push_back(vm);
-  }
-  return vms;
-}
-
-std::optional<Vm>
-FleetSync::ChoosePeer()
-{
-  std::vector<Vm> peers;
-  if (StoreReachable()) {
-    if (IsFollower())
-      return std::nullopt;
-    peers = IsSettled() ? StoreFollowers() : Seeds();
-  } else if (!everReached_ && ReadClocks().monotonic < seedsFirstUntil_) {
-    peers = Seeds();
-  } else {
-    peers = membership_->LiveNotLeaving();
-    if (peers.size() <= 1) {
-      peers = Seeds();
-      peers.insert(peers.end(), registeredVms_.begin(), registeredVms_.end());
-    }
-  }
-  std::erase_if(peers, [this](const Vm& aVm) { return aVm.peers == options_.self.peers; });
-  if (peers.empty())
-    return std::nullopt;
-  return peers[random_.Below(peers.size())];
-}
-
 asio::awaitable<void>
 FleetSync::AskPeers()
 {
   for (;;) {
-    if (const auto peer = ChoosePeer())
-      co_await AskPeer(*peer);
+    const auto peers = following_.PeersToAsk(ReadClocks().monotonic, registeredVms_);
+    if (!peers.empty())
+      co_await AskPeer(peers[random_.Below(peers.size())]);
     co_await Sleep(kAskPeriod);
   }
 }
 
 asio::awaitable<void>
-FleetSync::AskPeer(Vm aPeer)
+FleetSync::AskPeer(Endpoint aPeer)
 {
   tcp::socket socket(context_);
   asio::steady_timer timer(context_, kAskTimeout);
@@ -418,7 +284,7 @@
     if (!aError)
       socket.close(ignored);
   });
-  auto [error] = co_await socket.async_connect(ToTcp(aPeer.peers), kAwaitTuple);
+  auto [error] = co_await socket.async_connect(ToTcp(aPeer), kAwaitTuple);
   timer.cancel();
   // The handler of the timer refers to the socket until it has run.
   co_await asio::post(context_, asio::use_awaitable);
@@ -488,11 +354,10 @@
 StateReply
 FleetSync::ReplyTo(const StateRequest& aRequest) const
 {
-  // Only the word of a VM that calls the store itself counts: two VMs must not rely on each other.
-  const bool reachable = StoreReachable() && !IsServedByPeer();
-  StateReply reply{ .storeSteady =
-                      reachable && keeper_.IsStoreSteady(ReadClocks().monotonic),
-                    .storeReachable = reachable };
+  const TimePoint now = ReadClocks().monotonic;
+  const bool vouches = following_.Vouches(now);
+  StateReply reply{ .storeSteady = vouches && keeper_.IsStoreSteady(now),
+                    .storeReachable = vouches };
   for (size_t i = 0; i < kObjectKindCount; ++i) {
     const auto kind = static_cast<ObjectKind>(i);
     const ObjectSet& set = keeper_.Set(kind);
@@ -515,27 +380,13 @@
   return reply;
 }
 
-void
-FleetSync::OnServed(TimePoint aNow)
-{
-  servedAt_ = aNow;
-  if (everReached_)
-    return;
-  // A VM that has not called the store itself takes the other one's word.
-  everReached_ = true;
-  reachable_.fill(true);
-  keeper_.OnStoreReachable(aNow, true);
-  metrics_.SetGauge("store_reachable", 1);
-  Log(LogLevel::Info, kComponent, "store reached through another vm");
-}
-
 void
 FleetSync::OnState(const VmId& aFrom, const StateReply& aReply)
 {
   const TimePoint now = ReadClocks().monotonic;
   keeper_.OnStoreElsewhere(now, aReply.storeSteady);
-  if (aReply.storeReachable)
-    OnServed(now);
+  if (aReply.storeReachable && following_.OnVouched(now))
+    OnStoreReachable("store reached through another vm");
   for (const StateReply::Kind& kind : aReply.kinds) {
     if (kind.whole) {
       keeper_.OnSet(now, kind.kind, kind.set);
@@ -572,7 +423,6 @@
 FleetSync::StartMembership()
 {
   membershipStarted_ = true;
-  membershipStartedAt_ = ReadClocks().monotonic;
   membership_->Start(ReadClocks());
   if (!registeredVms_.empty())
     TellRegisteredVms();
@@ -586,6 +436,7 @@
   auto view = std::make_shared<FleetView>(keeper_.View());
   if (membershipStarted_) {
     view->usableVms = membership_->LiveNotLeaving();
+    following_.OnMembers(ReadClocks().monotonic, view->usableVms);
     for (const MemberUpdate& member : membership_->Members()) {
       if (member.state != MemberState::Left)
         view->knownVms.push_back(member.vm);
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -23,8 +23,8 @@
 /// start or stop while the shares change.
 constexpr double kRetryUse = 0.7;
 
-/// Part of the platform's bound on moves between regions that this VM uses; the rest covers VMs that
-/// decide at different moments and with few requests each.
+/// Part of the platform's bound on moves between regions that this VM uses; the rest covers VMs
+/// that decide at different moments and with few requests each.
 constexpr double kShiftUse = 0.67;
 
 /// A retry needs at least this part of the service's usual latency, or its answer comes too late.
@@ -45,18 +45,18 @@
 constexpr Duration kSpillPeriod = 100ms;
 constexpr Duration kSilencePeriod = 50ms;
 
-/// Use of a region's slots above which it is short of them, and below which it is not. Weight of the
-/// latest use in the mean: about a second decides.
+/// Use of a region's slots above which it is short of them, and below which it is not. Weight of
+/// the latest use in the mean: about a second decides.
 constexpr double kCrowdedAbove = 0.85;
 constexpr double kCrowdedUntil = 0.6;
 constexpr double kUseWeight = 0.1;
 
-/// Objects for each instance from which on hashing loads the instances evenly, so that a region that
-/// is short of slots can keep each object at one of them. With fewer it needs several homes.
+/// Objects for each instance from which on hashing loads the instances evenly, so that a region
+/// that is short of slots can keep each object at one of them. With fewer it needs several homes.
 constexpr double kObjectsPerInstance = 6;
 
-/// Part of the objects that get, or lose, a home in each failure domain in one second. Each new home
-/// serves its first request cold, which takes several times the slots.
+/// Part of the objects that get, or lose, a home in each failure domain in one second. Each new
+/// home serves its first request cold, which takes several times the slots.
 constexpr double kSpreadRate = 0.1;
 constexpr double kGatherRate = 0.1;
 
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -141,9 +141,8 @@
   Ranking& ranking = aRequest.rankings[aRegion];
   if (ranking.order.empty() || aNow - ranking.at >= kRankingLife)
     ranking = { .at = aNow, .order = Rank(aNow, aRequest, aState, aRegion) };
-  const bool homesOnly =
-    aRequest.sticky &&
-    aNow - aRequest.spec.arrived < Scale(aRequest.spec.route->goal, kWarmWaitShare);
+  const bool homesOnly = aRequest.sticky && aNow - aRequest.spec.arrived <
+                                              Scale(aRequest.spec.route->goal, kWarmWaitShare);
   for (const Ranked& candidate : ranking.order) {
     if (homesOnly && !candidate.home)
       continue;
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -73,8 +73,10 @@
     sets.push_back(wire::CreateStateSetDirect(
       aBuilder, static_cast<uint8_t>(kind), set.revision, &entries, whole, &names));
   }
-  return { wire::SteeringBody::StateReply,
-           wire::CreateStateReplyDirect(aBuilder, aReply.storeSteady, &sets, aReply.storeReachable).Union() };
+  return {
+    wire::SteeringBody::StateReply,
+    wire::CreateStateReplyDirect(aBuilder, aReply.storeSteady, &sets, aReply.storeReachable).Union()
+  };
 }
 
 Decoded<PeerMessage>
--- a/lib/Steering/ShiftLimit.cpp
+++ b/lib/Steering/ShiftLimit.cpp
@@ -37,9 +37,8 @@
 {
   const Window before = Sum(aNow - 2 * kWindow, aNow - kWindow, aRegion);
   // What runs at first is what later windows are compared with.
-  const double most = before.all == 0
-                        ? std::max(aFirstShare, maxChange_)
-                        : static_cast<double>(before.away) / before.all + maxChange_;
+  const double most = before.all == 0 ? std::max(aFirstShare, maxChange_)
+                                      : static_cast<double>(before.away) / before.all + maxChange_;
   // A burst at the end of a window would be the larger part of a later one.
   for (const Duration length : { kWindow, kWindow / 2 }) {
     const Window now = Sum(aNow - length, aNow + kSlice, aRegion);
--- a/unittests/Steering/PeerLoadsTest.cpp
+++ b/unittests/Steering/PeerLoadsTest.cpp
@@ -14,10 +14,13 @@
 {
   PeerLoads loads;
   const TimePoint start{ 100s };
-  loads.OnReport(start, VmId("vm-1"), { .loads = { { .instance = 7, .inFlight = 3 } }, .life = 1s });
-  loads.OnReport(start + 500ms, VmId("vm-2"), { .loads = { { .instance = 7, .inFlight = 2 } }, .life = 1s });
+  loads.OnReport(
+    start, VmId("vm-1"), { .loads = { { .instance = 7, .inFlight = 3 } }, .life = 1s });
+  loads.OnReport(
+    start + 500ms, VmId("vm-2"), { .loads = { { .instance = 7, .inFlight = 2 } }, .life = 1s });
   cr_assert(loads.At(7) == 5);
-  loads.OnReport(start + 600ms, VmId("vm-2"), { .loads = { { .instance = 8, .inFlight = 4 } }, .life = 1s });
+  loads.OnReport(
+    start + 600ms, VmId("vm-2"), { .loads = { { .instance = 8, .inFlight = 4 } }, .life = 1s });
   cr_assert(loads.At(7) == 3 && loads.At(8) == 4);
   cr_assert(loads.DropExpired(start + 999ms).empty());
   cr_assert(loads.DropExpired(start + 1s) == std::vector<uint32_t>{ 7 });
--- a/unittests/Steering/ShiftLimitTest.cpp
+++ b/unittests/Steering/ShiftLimitTest.cpp
@@ -30,8 +30,8 @@
   return all > 0 ? away / all : 0;
 }
 
-/// An overloaded region refused most requests of its own, so that a few moved keys were over a third
-/// of what ran: more than the permitted 15 % changed their region within 2 s.
+/// An overloaded region refused most requests of its own, so that a few moved keys were over a
+/// third of what ran: more than the permitted 15 % changed their region within 2 s.
 Test(ShiftLimit, BoundsTheShareOfWhatRuns)
 {
   const bool holds = rc::check("any mix of own and moved requests", [] {
@@ -43,7 +43,8 @@
     std::vector<Start> starts;
     TimePoint now{ 100s };
     for (int step = 0; step < 1600; ++step) {
-      // About 140 requests a second at the VMs of a region; the part that wants to move jumps once a second.
+      // About 140 requests a second at the VMs of a region; the part that wants to move jumps once
+      // a second.
       now += Duration(std::chrono::milliseconds(*rc::gen::inRange(2, 12)));
       const int wanted = (step / 120) % 2 == 0 ? 90 : *rc::gen::inRange(0, 100);
       const bool wants = *rc::gen::inRange(0, 100) < wanted;
