--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -219,6 +219,9 @@
   /// How one service's objects are spread over the instances of a region.
   struct RegionSpread
   {
+    /// Use from which on a region is short of slots.
+    static constexpr double kCrowded = 0.85;
+
     double use = 0; ///< Moving mean of the part of the slots in use.
     /// Part of the objects that have a home in each failure domain; the others have one in the
     /// region.
--- a/include/dragonflymoor/Steering/SpillControl.h
+++ b/include/dragonflymoor/Steering/SpillControl.h
@@ -24,7 +24,7 @@
   /// Part of all slots that is taken to be needed before the first request, the same in each
   /// region: cold objects take several times the slots of warm ones.
   double expectedUse = 0.5;
-  double maxShare = 0.6;
+  double maxShare = 0.75;
 };
 
 /// Use of one service's slots in one region, summed over all VMs.
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -45,9 +45,8 @@
 constexpr Duration kSpillPeriod = 100ms;
 constexpr Duration kSilencePeriod = 50ms;
 
-/// Use of a region's slots above which it is short of them, and below which it is not. Weight of
-/// the latest use in the mean: about a second decides.
-constexpr double kCrowdedAbove = 0.85;
+/// Use of a region's slots below which it is not short of them. Weight of the latest use in the mean:
+/// about a second decides.
 constexpr double kCrowdedUntil = 0.6;
 constexpr double kUseWeight = 0.1;
 
@@ -579,9 +578,9 @@
     spread.use += kUseWeight * (now - spread.use);
     const auto instances = static_cast<double>(region->second.list.size());
     const bool even = aState.objects.Estimate() >= kObjectsPerInstance * instances;
-    if (spread.use > kCrowdedAbove && even)
+    if (spread.use > RegionSpread::kCrowded && even)
       spread.share = std::max(0.0, spread.share - kGatherRate * step);
-    else if (spread.use > kCrowdedAbove || spread.use < kCrowdedUntil)
+    else if (spread.use > RegionSpread::kCrowded || spread.use < kCrowdedUntil)
       spread.share = std::min(1.0, spread.share + kSpreadRate * step);
   }
 }
