--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -45,8 +45,8 @@
 constexpr Duration kSpillPeriod = 100ms;
 constexpr Duration kSilencePeriod = 50ms;
 
-/// Use of a region's slots below which it is not short of them. Weight of the latest use in the mean:
-/// about a second decides.
+/// Use of a region's slots below which it is not short of them. Weight of the latest use in the
+/// mean: about a second decides.
 constexpr double kCrowdedUntil = 0.6;
 constexpr double kUseWeight = 0.1;
 
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -16,8 +16,8 @@
 /// half of the objects of a region warm.
 constexpr size_t kObjectParts = 2;
 
-/// In a region that is short of slots an object with one home is served there, or at as many instances
-/// in all.
+/// In a region that is short of slots an object with one home is served there, or at as many
+/// instances in all.
 constexpr size_t kCrowdedChoices = 2;
 
 /// Instances of a region that keep one object warm when they are not chosen for each failure
@@ -105,7 +105,8 @@
   const auto spread = aState.spreads.find(aRegion);
   const bool onePerRegion =
     spread == aState.spreads.end() || PositionOf(aRequest.key) >= spread->second.share;
-  const bool crowded = spread != aState.spreads.end() && spread->second.use > RegionSpread::kCrowded;
+  const bool crowded =
+    spread != aState.spreads.end() && spread->second.use > RegionSpread::kCrowded;
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.list.size());
   for (const Candidate& candidate : candidates.list) {
@@ -133,7 +134,7 @@
     return aLeft.home && !aLeft.far && aRight.far;
   });
   // A cold request takes several times the slots, and its object pushes out others.
-  if (onePerRegion && crowded && ranked.size() > kCrowdedChoices)
+  if (aRequest.sticky && onePerRegion && crowded && ranked.size() > kCrowdedChoices)
     ranked.resize(kCrowdedChoices);
   return ranked;
 }
@@ -201,8 +202,8 @@
   const auto spillTo = aState.spill.RegionFor(aRequest.key);
   if (ownAllowed && spillTo && MayServeIn(route, *spillTo) &&
       shifts_.MayStart(aNow, *spillTo, aState.spill.ShareOf(*spillTo))) {
-    // While the other region is full the request waits: in the own one its object is cold, and would
-    // push out others.
+    // While the other region is full the request waits: in the own one its object is cold, and
+    // would push out others.
     const auto remote = aState.regions.find(*spillTo);
     if (remote != aState.regions.end() && HasUsable(aNow, remote->second))
       return ChooseIn(aNow, aRequest, aState, *spillTo);
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -1,4 +1,5 @@
 #include "DispatcherFixture.h"
+#include "dragonflymoor/Support/Hash.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -306,6 +307,46 @@
   }
 }
 
+/// Objects that were moved to another region ran cold in the own one as soon as the other one's
+/// instance was full, and pushed out the objects that were warm there.
+Test(Dispatcher, MovedObjectsWaitForTheirRegion)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-own", .slots = 2 },
+                     { .id = "i-south", .domain = "south-a", .slots = 10 },
+                     { .id = "i-east", .domain = "east-a", .slots = 10 } });
+  // Before the first request shares are chosen from the sizes of the regions.
+  fixture.Advance(200ms);
+  const auto serve = [&fixture](uint64_t aKey) {
+    const Ticket ticket = fixture.Submit({}, aKey);
+    InstanceAttempt attempt = fixture.running.at(ticket);
+    fixture.End(ticket, Kind::Answered, 200);
+    return attempt;
+  };
+  uint64_t key = 0;
+  while (!serve(++key * 0x9e3779b97f4a7c15).spilled)
+    cr_assert(key < 200);
+  // Requests of the first key, which is not moved, leave room below the limit of the moves.
+  cr_assert(key > 1);
+  for (int i = 0; i < 30; ++i)
+    cr_assert(not serve(0x9e3779b97f4a7c15).spilled);
+  const uint64_t moved = key * 0x9e3779b97f4a7c15;
+  const std::string away = serve(moved).instance.Value();
+  std::vector<InstanceLoad> full = fixture.dispatcher.OwnLoad();
+  cr_assert(full.empty());
+  for (const char* instance : { "i-south", "i-east" })
+    full.push_back({ .instance = static_cast<uint32_t>(HashBytes(instance)), .inFlight = 10 });
+  fixture.dispatcher.OnPeerLoad(fixture.now, VmId("vm-9"), { .loads = full, .life = 10s });
+  const size_t before = fixture.started.size();
+  const Ticket waiting = fixture.Submit({}, moved);
+  fixture.Advance(50ms);
+  cr_assert(fixture.started.size() == before && !fixture.refused.contains(waiting));
+  fixture.dispatcher.OnPeerLoad(fixture.now, VmId("vm-9"), { .life = 10s });
+  fixture.Advance(20ms);
+  cr_assert(fixture.running.contains(waiting));
+  cr_assert(fixture.running.at(waiting).instance.Value() == away);
+}
+
 /// A cancelled request kept its slot, or was started later.
 Test(Dispatcher, CancelledRequestLeavesNothing)
 {
