--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -261,7 +261,8 @@
   void CheckWaiting(TimePoint aNow);
   void CheckSilence(TimePoint aNow);
   void CheckProbes(TimePoint aNow);
-  void UpdateSpill(TimePoint aNow);
+  /// Adapts the shares of other regions and the homes of the objects to the use of the regions.
+  void BalanceRegions(TimePoint aNow);
   static void UpdateSpreads(ServiceState& aState, const std::vector<RegionUse>& aUses);
   static void AddCandidate(RegionCandidates& aCandidates, InstanceTracker& aInstance);
   static bool HasFreeSlot(TimePoint aNow, const ServiceState& aState);
@@ -289,7 +290,7 @@
   ShiftLimit shifts_;
   RetryBudget retries_;
   CrashRegistry crashes_;
-  TimePoint nextSpillUpdate_;
+  TimePoint nextBalance_;
   TimePoint nextSilenceCheck_;
 };
 
