Bound the memory of answers that never end; skip interim answers

Cause: an instance may send bytes without end until the caller closes. The limit of 64 MB held for each answer alone, so that six such answers fill a VM of 160 MB; a chunk extension or trailer without an end was buffered whole, as the read buffer had no limit. The new test also showed that an interim answer (1xx) was delivered to the caller as the final one.

Ruled out: header lines without an end, which the parser's header limit ends.

Change: bodies that are read or not yet delivered share one budget of 32 MB, the read buffer of a connection is limited, and at most 16 interim answers are skipped. A request whose answer does not fit fails like one whose answer broke off, and its connection is closed.

Test: Gateway/BoundsTheMemoryOfEndlessAnswers; before the change it failed at the case "interim answers" (status 102 delivered), and stopped there.

--- a/include/dragonflymoor/Gateway/InstanceClient.h
+++ b/include/dragonflymoor/Gateway/InstanceClient.h
@@ -4,9 +4,11 @@
 #include "dragonflymoor/Gateway/Protocol.h"
 #include "dragonflymoor/Metrics/Metrics.h"
 #include "dragonflymoor/Steering/Dispatcher.h"
+#include "dragonflymoor/Support/ByteBudget.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <map>
 #include <memory>
@@ -88,10 +90,7 @@
 private:
   struct Connection
   {
-    explicit Connection(asio::io_context& aContext)
-      : socket(aContext)
-    {
-    }
+    explicit Connection(asio::io_context& aContext);
 
     tcp::socket socket;
     beast::flat_buffer buffer;
@@ -103,10 +102,17 @@
   /// Shared, as a write may outlast its exchange.
   using ConnectionPtr = std::shared_ptr<Connection>;
 
+  using AnswerParser = http::response_parser<http::string_body>;
+
   ConnectionPtr TakeIdleConnection(const InstanceAttempt& aAttempt);
   asio::awaitable<ConnectionPtr> Connect(const Endpoint& aEndpoint,
                                          ExchangeControl& aControl,
                                          std::string& aError);
+  /// Reads the rest of an answer whose header aParser has. Returns an error text, which is empty
+  /// when the answer is complete.
+  asio::awaitable<std::string> ReadBody(Connection& aConnection,
+                                        AnswerParser& aParser,
+                                        ByteReservation& aReservation);
   asio::awaitable<void> Exchange(const ConnectionPtr& aConnection,
                                  const std::shared_ptr<InstanceRequest>& aMessage,
                                  const std::string& aRequestId,
@@ -121,6 +127,7 @@
   asio::io_context& context_;
   const Protocol& protocol_;
   Metrics& metrics_;
+  std::shared_ptr<ByteBudget> answerBudget_;
   std::map<BackendId, std::vector<ConnectionPtr>> idleConnections_;
   std::set<std::shared_ptr<ExchangeControl>> activeControls_;
   TimePoint nextIdleCheckTime_;
--- a/lib/Gateway/InstanceClient.cpp
+++ b/lib/Gateway/InstanceClient.cpp
@@ -38,9 +38,18 @@
 /// A connection is closed after this many answers to other requests.
 constexpr int kMaxForeignAnswers = 3;
 
-constexpr size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
+/// A connection is closed after this many interim answers (1xx) to one request.
+constexpr int kMaxInterimAnswers = 16;
+
+/// Limit of the bodies of all answers that are read or not yet delivered. A string that grows may
+/// occupy three times its size for a moment, and the smallest VMs have 160 MB.
+constexpr size_t kMaxAnswerBytes = 32UL * 1024 * 1024;
 constexpr size_t kMaxAnswerHeaderBytes = 64UL * 1024;
 
+/// Limit of received bytes that are not parsed yet. Without it a line of a chunked body that never
+/// ends would be buffered whole.
+constexpr size_t kMaxReadBufferBytes = 2 * kMaxAnswerHeaderBytes;
+
 /// The time-out N, in seconds, of a "Keep-Alive: timeout=N" header.
 std::optional<Duration>
 KeepAliveTimeout(const http::fields& aFields)
@@ -87,6 +96,13 @@
   : context_(aContext)
   , protocol_(aProtocol)
   , metrics_(aMetrics)
+  , answerBudget_(std::make_shared<ByteBudget>(kMaxAnswerBytes))
+{
+}
+
+InstanceClient::Connection::Connection(asio::io_context& aContext)
+  : socket(aContext)
+  , buffer(kMaxReadBufferBytes)
 {
 }
 
@@ -145,6 +161,25 @@
   co_return connection;
 }
 
+asio::awaitable<std::string>
+InstanceClient::ReadBody(Connection& aConnection,
+                         AnswerParser& aParser,
+                         ByteReservation& aReservation)
+{
+  bool fits = aReservation.GrowTo(aParser.content_length_remaining().value_or(0));
+  while (fits && !aParser.is_done()) {
+    auto [error, bytes] =
+      co_await http::async_read_some(aConnection.socket, aConnection.buffer, aParser, kAwaitTuple);
+    if (error)
+      co_return error.message();
+    fits = aReservation.GrowTo(aParser.get().body().size());
+  }
+  if (fits)
+    co_return std::string();
+  metrics_.Count("answers-too-large");
+  co_return std::string("no memory for the body");
+}
+
 asio::awaitable<void>
 InstanceClient::Exchange(const ConnectionPtr& aConnection,
                          const std::shared_ptr<InstanceRequest>& aMessage,
@@ -163,8 +198,10 @@
       writeState->bytes = aBytes;
     });
   aResult.report.kind = AttemptEndReport::Kind::Broken;
-  for (int foreignAnswers = 0;; ++foreignAnswers) {
-    http::response_parser<http::string_body> parser;
+  int foreignAnswers = 0;
+  int interimAnswers = 0;
+  for (;;) {
+    AnswerParser parser;
     parser.body_limit(kMaxAnswerBytes);
     parser.header_limit(kMaxAnswerHeaderBytes);
     parser.skip(aMessage->method() == http::verb::head);
@@ -179,10 +216,16 @@
         aResult.report.kind = AttemptEndReport::Kind::NotSent;
       co_return;
     }
-    auto [bodyError, bodyBytes] =
-      co_await http::async_read(aConnection->socket, aConnection->buffer, parser, kAwaitTuple);
-    if (bodyError) {
-      aResult.error = "answer is incomplete: " + bodyError.message();
+    if (http::to_status_class(parser.get().result()) == http::status_class::informational) {
+      if (++interimAnswers <= kMaxInterimAnswers)
+        continue;
+      aResult.error = "too many interim answers";
+      co_return;
+    }
+    const auto reservation = std::make_shared<ByteReservation>(answerBudget_);
+    const std::string bodyError = co_await ReadBody(*aConnection, parser, *reservation);
+    if (!bodyError.empty()) {
+      aResult.error = "answer is incomplete: " + bodyError;
       co_return;
     }
     const bool connectionCloses = parser.need_eof() || !parser.get().keep_alive();
@@ -192,7 +235,8 @@
       head.requestId == aRequestId || (head.requestId.empty() && !aConnection->reused);
     if (!isOwnAnswer) {
       metrics_.Count("foreign-answers");
-      if (connectionCloses || foreignAnswers + 1 == kMaxForeignAnswers) {
+      ++foreignAnswers;
+      if (connectionCloses || foreignAnswers == kMaxForeignAnswers) {
         aResult.error = "answer belongs to another request";
         co_return;
       }
@@ -207,7 +251,9 @@
     aReusable = foreignAnswers == 0 && !connectionCloses && writeState->done &&
                 !writeState->error && aConnection->buffer.size() == 0 &&
                 aControl.GetCloseReason() == ExchangeControl::CloseReason::None;
-    aResult.answer = std::make_shared<InstanceAnswer>(parser.release());
+    aResult.answer = std::shared_ptr<InstanceAnswer>(
+      new InstanceAnswer(parser.release()),
+      [reservation](InstanceAnswer* aAnswer) { std::default_delete<InstanceAnswer>()(aAnswer); });
     aResult.report.kind = AttemptEndReport::Kind::Answered;
     co_return;
   }
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -224,6 +224,68 @@
   }
 }
 
+/// Guards against an instance that sends bytes without end and so fills the memory of the VM, holds
+/// the request until its deadline, or leaves bytes to the next request. Several such answers arrive
+/// at once, so a limit for each answer alone is not enough.
+Test(Gateway, BoundsTheMemoryOfEndlessAnswers)
+{
+  struct Case
+  {
+    const char* name;
+    std::string start;    ///< Sent once, before the repeated bytes.
+    std::string repeated; ///< Sent until the VM closes the connection.
+    size_t maxBytes;      ///< Maximum number of repeated bytes that the VM may take in.
+  };
+  constexpr size_t kMegabyte = 1024UL * 1024;
+  // Socket buffers of the loopback device take in several megabytes for each connection.
+  constexpr size_t kMaxHeadBytes = 100 * kMegabyte;
+  constexpr size_t kMaxBodyBytes = 160 * kMegabyte;
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n";
+  const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const Case cases[] = {
+    { "no line end", "", "x", kMaxHeadBytes },
+    { "one header line", head + "X-Long: ", "x", kMaxHeadBytes },
+    { "header lines", head, "X-More: x\r\n", kMaxHeadBytes },
+    { "interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n", kMaxHeadBytes },
+    { "chunk extension", chunkedHead + "5;name=", "x", kMaxHeadBytes },
+    { "trailer", chunkedHead + "0\r\nX-Long: ", "x", kMaxHeadBytes },
+    { "body up to the end of the connection", head + "\r\n", "x", kMaxBodyBytes },
+    { "body with a length", head + "Content-Length: 60000000\r\n\r\n", "x", kMaxBodyBytes },
+    { "chunks", chunkedHead, "400\r\n" + std::string(1024, 'x') + "\r\n", kMaxBodyBytes },
+  };
+  constexpr int kCallerCount = 6;
+  for (const Case& testCase : cases) {
+    ServingFixture fixture;
+    fixture.SetBehaviour([&testCase](const StandInInstance&, const Request&) {
+      return Reaction{ .sendsAnswer = false,
+                       .bytesBeforeAnswer = testCase.start,
+                       .repeatedBytes = testCase.repeated };
+    });
+    std::vector<std::thread> callers;
+    std::atomic<int> failed = 0;
+    for (int i = 0; i < kCallerCount; ++i) {
+      callers.emplace_back([&, i] {
+        const auto answer = fixture.Send(http::verb::post, "/order/1", std::to_string(i), "crate");
+        failed += answer && answer->result() == http::status::bad_gateway ? 1 : 0;
+      });
+    }
+    for (std::thread& caller : callers)
+      caller.join();
+    cr_assert(failed == kCallerCount, "%s: %d", testCase.name, failed.load());
+    const size_t sent = fixture.firstInstance.Server().RepeatedByteCount() +
+                        fixture.secondInstance.Server().RepeatedByteCount();
+    cr_assert(sent <= testCase.maxBytes, "%s: %zu", testCase.name, sent);
+    fixture.SetBehaviour([](const StandInInstance& aInstance, const Request& aRequest) {
+      return aInstance.SuccessReaction(aRequest);
+    });
+    const bool servedAgain = GatewayFixture::WaitUntil([&] {
+      const auto answer = fixture.Send(http::verb::get, "/read/2", "next");
+      return answer && answer->body().starts_with("/read/2 from ");
+    });
+    cr_assert(servedAgain, "%s", testCase.name);
+  }
+}
+
 /// Guards against a request that continues at the instance after its caller has disconnected.
 Test(Gateway, CancelsTheRequestOfADisconnectedCaller)
 {
--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -172,7 +172,7 @@
     reaction.answer.keep_alive(reaction.answer.keep_alive() && request.keep_alive());
     if (!reaction.answer.has_content_length() && !reaction.answer.chunked())
       reaction.answer.prepare_payload();
-    std::string bytes = Serialize(reaction.answer);
+    std::string bytes = reaction.sendsAnswer ? Serialize(reaction.answer) : std::string();
     if (reaction.closeAfterBytes > 0)
       bytes.resize(std::min(bytes.size(), reaction.closeAfterBytes));
     bytes.insert(0, reaction.bytesBeforeAnswer);
@@ -183,7 +183,29 @@
       aSession->socket.close();
       co_return;
     }
+    if (!reaction.repeatedBytes.empty()) {
+      co_await SendRepeatedly(aSession, std::move(reaction.repeatedBytes));
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void>
+StandInServer::SendRepeatedly(std::shared_ptr<Session> aSession, std::string aBytes)
+{
+  constexpr size_t kBlockBytes = 64UL * 1024;
+  std::string block;
+  while (block.size() < kBlockBytes)
+    block += aBytes;
+  for (size_t sent = 0; sent < kMaxRepeatedBytes;) {
+    auto [error, bytes] =
+      co_await asio::async_write(aSession->socket, asio::buffer(block), kAwaitTuple);
+    repeatedByteCount_ += bytes;
+    sent += bytes;
+    if (error)
+      break;
   }
+  aSession->socket.close();
 }
 
 StandInStore::StandInStore()
--- a/unittests/Platform/StandIns.h
+++ b/unittests/Platform/StandIns.h
@@ -28,9 +28,13 @@
 struct Reaction
 {
   Response answer;
-  Duration delay{};                 ///< Time between the request and the answer.
-  std::string bytesBeforeAnswer;    ///< Bytes sent before the answer.
-  std::string bytesAfterAnswer;     ///< Bytes sent after the answer.
+  bool sendsAnswer = true;       ///< Whether the answer is sent at all.
+  Duration delay{};              ///< Time between the request and the answer.
+  std::string bytesBeforeAnswer; ///< Bytes sent before the answer.
+  std::string bytesAfterAnswer;  ///< Bytes sent after the answer.
+  /// Repeated after all other bytes until the peer closes the connection, up to
+  /// StandInServer::kMaxRepeatedBytes.
+  std::string repeatedBytes;
   bool neverAnswers = false;        ///< Keeps the connection open and sends nothing.
   bool closesWithoutAnswer = false; ///< Closes the connection without sending any bytes.
   size_t closeAfterBytes =
@@ -43,6 +47,9 @@
 public:
   using Handler = std::function<Reaction(const Request&)>;
 
+  /// Bounds what a peer that reads everything has to buffer.
+  static constexpr size_t kMaxRepeatedBytes = 200UL * 1024 * 1024;
+
   explicit StandInServer(Handler aHandler);
   ~StandInServer();
 
@@ -53,12 +60,16 @@
   /// Number of connections that the peer closed before the answer to its request was sent. Only
   /// requests whose Reaction has a delay or never answers are counted.
   unsigned ClosedByPeerCount() const { return closedByPeerCount_; }
+  /// Total of the repeated bytes (Reaction::repeatedBytes) that were sent.
+  size_t RepeatedByteCount() const { return repeatedByteCount_; }
 
 private:
   struct Session;
 
   asio::awaitable<void> AcceptConnections();
   asio::awaitable<void> ServeConnection(std::shared_ptr<Session> aSession);
+  /// Sends aBytes again and again until the peer closes the connection.
+  asio::awaitable<void> SendRepeatedly(std::shared_ptr<Session> aSession, std::string aBytes);
 
   Handler handler_;
   asio::io_context context_{ 1 };
@@ -67,6 +78,7 @@
   Endpoint address_;
   std::vector<std::weak_ptr<Session>> sessions_;
   std::atomic<unsigned> closedByPeerCount_ = 0;
+  std::atomic<size_t> repeatedByteCount_ = 0;
   std::thread thread_;
 };
 
