Relay load reports between failure domains of larger fleets

Cause: each VM sent its load report to every other VM, so that reports grew with the square of the number of VMs.

Ruled out by calculation: a longer period alone (sums older than a burst), and one relay that sends to every VM of the other domains (more bytes than now).

Change: above 16 VMs a VM reports to its own failure domain only. Two relays of each domain send the sum of its reports to one relay of each other domain, which forwards it inside its domain (LoadTopology). Reports of up to 16 VMs are as before.

--- a/include/dragonflymoor/Gateway/LoadExchange.h
+++ b/include/dragonflymoor/Gateway/LoadExchange.h
@@ -2,58 +2,71 @@
 #define DRAGONFLYMOOR_GATEWAY_LOADEXCHANGE_H
 
 #include "dragonflymoor/Net/Asio.h"
+#include "dragonflymoor/Steering/LoadTopology.h"
 #include "dragonflymoor/Steering/PeerMessages.h"
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <string_view>
 #include <vector>
 
 namespace dfm {
 
-/// Exchanges messages with other VMs over UDP, mainly load reports: the number of requests that a
-/// VM has in flight at each instance. VMs of the own region, which share the instances, get reports
-/// more often. Must be used on the thread of its io_context.
+struct LoadExchangeHooks
+{
+  std::function<std::vector<InstanceLoad>()> readOwnLoad;
+  /// Reads the load of all VMs of the own failure domain.
+  std::function<std::vector<InstanceLoad>()> readDomainLoad;
+  std::function<void(const PeerEnvelope&)> messageReceived;
+};
+
+/// Exchanges messages with other VMs over UDP, mainly load reports along a LoadTopology. Must be
+/// used on the thread of its io_context.
 class LoadExchange
 {
 public:
-  using MessageHandler = std::function<void(const PeerEnvelope&)>;
-
-  LoadExchange(asio::io_context& aContext, Vm aSelf, MessageHandler aMessageHandler);
+  /// Precondition: every hook is set.
+  LoadExchange(asio::io_context& aContext, Vm aSelf, LoadExchangeHooks aHooks);
 
   /// Binds the socket and starts receiving. All VMs use the same port.
   error_code Open(const Endpoint& aListen);
   /// Replaces the VMs to which messages are sent. aVms may contain this VM; it is skipped.
   void SetReceivers(const std::vector<Vm>& aVms);
-  /// Sends load reports to the groups that are due. Calls aReadLoads at most once, and only if a
-  /// group is due. To be called every 10 ms.
-  void OnTick(TimePoint aNow, const std::function<std::vector<InstanceLoad>()>& aReadLoads);
+  /// Sends load reports to the groups that are due. To be called every 10 ms.
+  void OnTick(TimePoint aNow);
   /// Sends aMessage once to each receiver. A datagram that cannot be sent is logged, not repeated.
   void SendToAll(const PeerMessage& aMessage);
 
 private:
-  /// VMs that get load reports at the same period.
+  using UdpEndpoint = asio::ip::udp::endpoint;
+
+  /// VMs that get the same load reports.
   struct ReceiverGroup
   {
-    Duration basePeriod{};               ///< Time between two reports while the receivers are few.
-    size_t maxReceiversAtBasePeriod = 1; ///< With more, the period grows in proportion.
-    std::vector<asio::ip::udp::endpoint> endpoints;
+    std::vector<UdpEndpoint> endpoints;
     Duration period{};
+    bool getsDomainLoad = false; ///< Gets the load of the failure domain, not of this VM alone.
     TimePoint nextSendTime;
     TimePoint lastSendTime;
     std::vector<InstanceLoad> lastSentLoads;
   };
 
   asio::awaitable<void> Receive();
-  ReceiverGroup& GroupFor(const Vm& aVm);
-  /// Sends aLoads to the group, unless they are unchanged and were sent recently or are empty.
-  void SendLoads(ReceiverGroup& aGroup, TimePoint aNow, const std::vector<InstanceLoad>& aLoads);
+  void SetGroup(ReceiverGroup& aGroup, const LoadReceivers& aReceivers, bool aGetsDomainLoad) const;
+  /// Sends loads to the group, unless they are unchanged and were sent recently or are empty.
+  void SendLoads(ReceiverGroup& aGroup, TimePoint aNow);
+  void Send(std::string_view aDatagram, const std::vector<UdpEndpoint>& aReceivers);
+  /// Whether a report of another failure domain arrived from outside the own one, so that the VMs
+  /// of the own one have to get it from this VM.
+  bool MustForward(const PeerEnvelope& aEnvelope, const UdpEndpoint& aSender) const;
 
   asio::ip::udp::socket socket_;
   Vm self_;
-  MessageHandler messageHandler_;
+  LoadExchangeHooks hooks_;
   uint16_t port_ = 0;
-  ReceiverGroup sameDomainGroup_;   ///< VMs of the own failure domain.
-  ReceiverGroup sameRegionGroup_;   ///< VMs of the other failure domains of the own region.
-  ReceiverGroup otherRegionsGroup_; ///< VMs of other regions.
+  std::vector<UdpEndpoint> all_;
+  ReceiverGroup sameDomainGroup_;
+  ReceiverGroup sameRegionGroup_;
+  ReceiverGroup otherRegionsGroup_;
 };
 
 } // namespace dfm
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -168,6 +169,8 @@
 
   /// Requests of this VM at each instance; instances without any are left out.
   std::vector<InstanceLoad> OwnLoad() const;
+  /// Requests of all VMs of the own failure domain at each instance, by their latest reports.
+  std::vector<InstanceLoad> DomainLoad() const;
   size_t WaitingCount() const;
   size_t InFlightCount() const;
   /// Random delay after which a refused request may be retried.
@@ -295,6 +298,7 @@
   std::map<uint64_t, InstanceTracker*> instancesInUse_; ///< Have requests of this VM in flight.
   std::map<uint64_t, InstanceTracker*> instancesDown_;  ///< Get health checks.
   PeerLoads peerLoads_;
+  std::set<VmId> otherVmsInDomain_;
   std::map<ServiceId, ServiceState> services_;
   std::unordered_map<Ticket, Request> requests_;
   SplitChooser splits_;
--- a/include/dragonflymoor/Steering/PeerLoads.h
+++ b/include/dragonflymoor/Steering/PeerLoads.h
@@ -5,7 +5,10 @@
 #include "dragonflymoor/Support/Time.h"
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 namespace dfm {
@@ -19,25 +22,31 @@
   auto operator<=>(const InstanceLoad&) const = default;
 };
 
-/// Report of a VM's requests in flight, sent to other VMs over UDP.
+/// Report of the requests in flight of one VM, or of all VMs of a failure domain, sent to other VMs
+/// over UDP.
 struct PeerLoad
 {
-  std::vector<InstanceLoad> loads; ///< Instances without requests are omitted.
-  Duration life{};                 ///< Validity of the report unless a later one replaces it.
+  std::optional<FailureDomainId> domain; ///< Set in the sum of a failure domain's reports.
+  std::vector<InstanceLoad> loads;       ///< Instances without requests are omitted.
+  Duration life{};                       ///< Validity of the report unless a later one replaces it.
 
   auto operator<=>(const PeerLoad&) const = default;
 };
 
+/// Whose requests a report counts.
+using LoadSource = std::variant<VmId, FailureDomainId>;
+
 /// Sums the requests that other VMs have in flight at each instance, from their latest reports. A
 /// report is processed in time proportional to its entries, regardless of the number of instances.
 /// Not thread-safe.
 class PeerLoads
 {
 public:
-  /// Replaces the VM's earlier report. Returns the instances whose sum may have changed.
+  /// Replaces the earlier report of the VM or failure domain that aLoad is about. aVm is the
+  /// sender. Returns the instances whose sum may have changed.
   std::vector<uint32_t> OnReport(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad);
 
-  /// Drops reports that have expired without being replaced: their VM has stopped or is
+  /// Drops reports that have expired without being replaced: their source has stopped or is
   /// unreachable, and its requests have ended or will end soon. Returns the instances whose sum may
   /// have changed.
   std::vector<uint32_t> DropExpired(TimePoint aNow);
@@ -45,6 +54,11 @@
   /// Number of requests that all other VMs together have in flight at aInstance.
   unsigned InFlightAt(uint32_t aInstance) const;
 
+  /// Adds the latest reports of aVms to aOwn, the requests of this VM. The result is in order of
+  /// the instances.
+  std::vector<InstanceLoad> AddReportsOf(const std::set<VmId>& aVms,
+                                         const std::vector<InstanceLoad>& aOwn) const;
+
 private:
   struct Report
   {
@@ -55,7 +69,7 @@
   /// Subtracts aReport from the sums and appends its instances to aChanged.
   void SubtractReport(const Report& aReport, std::vector<uint32_t>& aChanged);
 
-  std::map<VmId, Report> reportsByVm_;
+  std::map<LoadSource, Report> reportsBySource_;
   std::unordered_map<uint32_t, unsigned> inFlightByInstance_;
 };
 
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -114,9 +114,14 @@
                MakeDispatcherHooks())
   , instanceClient(trafficContext, options.platform.protocol, metrics)
   , callerFront(trafficContext, options.platform.protocol, dispatcher, instanceClient, metrics)
-  , loadExchange(trafficContext,
-                 settings.self,
-                 [this](const PeerEnvelope& aEnvelope) { OnPeerMessage(aEnvelope); })
+  , loadExchange(
+      trafficContext,
+      settings.self,
+      LoadExchangeHooks{
+        .readOwnLoad = [this] { return dispatcher.OwnLoad(); },
+        .readDomainLoad = [this] { return dispatcher.DomainLoad(); },
+        .messageReceived = [this](const PeerEnvelope& aEnvelope) { OnPeerMessage(aEnvelope); },
+      })
   , fleetSync(controlContext,
               FleetSyncOptions{ .self = settings.self,
                                 .seeds = settings.seeds,
@@ -293,7 +298,7 @@
     const TimePoint now = ReadClocks().monotonic;
     instanceClient.OnTick(now);
     dispatcher.OnTick(now);
-    loadExchange.OnTick(now, [this] { return dispatcher.OwnLoad(); });
+    loadExchange.OnTick(now);
     if (now >= nextGaugeTime) {
       nextGaugeTime = now + kGaugePeriod;
       callerFront.OnTick(now);
--- a/lib/Gateway/LoadExchange.cpp
+++ b/lib/Gateway/LoadExchange.cpp
@@ -5,32 +5,19 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <optional>
 
 namespace dfm {
 
 namespace {
 
-/// Period of load reports to VMs of the own region: a third of the duration of the shortest
-/// requests, so that other VMs learn in time of most slots that become free.
-constexpr Duration kSameRegionPeriod = 25ms;
-
-/// Period of load reports to VMs of other regions, which use them only to compare regions.
-constexpr Duration kOtherRegionsPeriod = 100ms;
-
-/// Number of receivers up to which a group keeps its base period. With more receivers, the period
-/// grows in proportion, so that the VM sends no more bytes per second. Bytes between failure
-/// domains of a region are priced, and most requests stay in one failure domain, so the other
-/// domains may get reports later.
-constexpr size_t kMaxSameDomainReceiversAtBasePeriod = 6;
-constexpr size_t kMaxSameRegionReceiversAtBasePeriod = 2;
-constexpr size_t kMaxOtherRegionsReceiversAtBasePeriod = 6;
-
 /// How long a report is valid, in periods: two lost reports in a row do not let it expire. Reports
 /// are valid for at least kMinReportLife, as unchanged loads are repeated at a longer period.
 constexpr int kReportLifePeriods = 3;
 constexpr Duration kMinReportLife = 1s;
 
+/// After the loss of the relays of a failure domain it takes this long until others replace them.
+constexpr Duration kMinRelayedReportLife = 2s;
+
 /// Unchanged loads are sent again after this time, as datagrams get lost and receivers discard
 /// loads after 1 s.
 constexpr Duration kUnchangedLoadsRepeatPeriod = 300ms;
@@ -40,16 +27,10 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(asio::io_context& aContext, Vm aSelf, MessageHandler aMessageHandler)
+LoadExchange::LoadExchange(asio::io_context& aContext, Vm aSelf, LoadExchangeHooks aHooks)
   : socket_(aContext)
   , self_(std::move(aSelf))
-  , messageHandler_(std::move(aMessageHandler))
-  , sameDomainGroup_{ .basePeriod = kSameRegionPeriod,
-                      .maxReceiversAtBasePeriod = kMaxSameDomainReceiversAtBasePeriod }
-  , sameRegionGroup_{ .basePeriod = kSameRegionPeriod,
-                      .maxReceiversAtBasePeriod = kMaxSameRegionReceiversAtBasePeriod }
-  , otherRegionsGroup_{ .basePeriod = kOtherRegionsPeriod,
-                        .maxReceiversAtBasePeriod = kMaxOtherRegionsReceiversAtBasePeriod }
+  , hooks_(std::move(aHooks))
 {
 }
 
@@ -63,78 +44,91 @@
   return error;
 }
 
-LoadExchange::ReceiverGroup&
-LoadExchange::GroupFor(const Vm& aVm)
+void
+LoadExchange::SetGroup(ReceiverGroup& aGroup,
+                       const LoadReceivers& aReceivers,
+                       bool aGetsDomainLoad) const
 {
-  if (aVm.region != self_.region)
-    return otherRegionsGroup_;
-  return aVm.failureDomain == self_.failureDomain ? sameDomainGroup_ : sameRegionGroup_;
+  aGroup.endpoints.clear();
+  for (const Vm& vm : aReceivers.vms)
+    aGroup.endpoints.emplace_back(ToAddress(vm.peers), port_);
+  aGroup.period = aReceivers.period;
+  aGroup.getsDomainLoad = aGetsDomainLoad;
 }
 
 void
 LoadExchange::SetReceivers(const std::vector<Vm>& aVms)
 {
-  for (ReceiverGroup* group : { &sameDomainGroup_, &sameRegionGroup_, &otherRegionsGroup_ })
-    group->endpoints.clear();
+  all_.clear();
   for (const Vm& vm : aVms) {
     if (vm.id != self_.id)
-      GroupFor(vm).endpoints.emplace_back(ToAddress(vm.peers), port_);
-  }
-  for (ReceiverGroup* group : { &sameDomainGroup_, &sameRegionGroup_, &otherRegionsGroup_ }) {
-    const size_t periodReceiverCount =
-      std::max(group->endpoints.size(), group->maxReceiversAtBasePeriod);
-    group->period = group->basePeriod * periodReceiverCount / group->maxReceiversAtBasePeriod;
+      all_.emplace_back(ToAddress(vm.peers), port_);
   }
+  const LoadTopology topology = MakeLoadTopology(self_, aVms);
+  SetGroup(sameDomainGroup_, topology.sameDomain, false);
+  SetGroup(sameRegionGroup_, topology.sameRegion, topology.relayed);
+  SetGroup(otherRegionsGroup_, topology.otherRegions, topology.relayed);
 }
 
 void
-LoadExchange::OnTick(TimePoint aNow, const std::function<std::vector<InstanceLoad>()>& aReadLoads)
+LoadExchange::OnTick(TimePoint aNow)
 {
-  std::optional<std::vector<InstanceLoad>> loads;
   for (ReceiverGroup* group : { &sameDomainGroup_, &sameRegionGroup_, &otherRegionsGroup_ }) {
-    if (aNow < group->nextSendTime || group->endpoints.empty())
-      continue;
-    if (!loads)
-      loads = aReadLoads();
-    SendLoads(*group, aNow, *loads);
+    if (aNow >= group->nextSendTime && !group->endpoints.empty())
+      SendLoads(*group, aNow);
   }
 }
 
 void
-LoadExchange::SendLoads(ReceiverGroup& aGroup,
-                        TimePoint aNow,
-                        const std::vector<InstanceLoad>& aLoads)
+LoadExchange::SendLoads(ReceiverGroup& aGroup, TimePoint aNow)
 {
   aGroup.nextSendTime = aNow + aGroup.period;
-  const bool loadsUnchanged = aLoads == aGroup.lastSentLoads;
-  if (loadsUnchanged &&
-      (aLoads.empty() || aNow - aGroup.lastSendTime < kUnchangedLoadsRepeatPeriod))
+  std::vector<InstanceLoad> loads =
+    aGroup.getsDomainLoad ? hooks_.readDomainLoad() : hooks_.readOwnLoad();
+  const bool loadsUnchanged = loads == aGroup.lastSentLoads;
+  if (loadsUnchanged && (loads.empty() || aNow - aGroup.lastSendTime < kUnchangedLoadsRepeatPeriod))
     return;
-  aGroup.lastSentLoads = aLoads;
+  aGroup.lastSentLoads = loads;
   aGroup.lastSendTime = aNow;
-  const std::string datagram =
-    EncodePeer(self_.id,
-               PeerLoad{ .loads = aLoads,
-                         .life = std::max(kMinReportLife, kReportLifePeriods * aGroup.period) });
+  PeerLoad report{ .loads = std::move(loads),
+                   .life = std::max(kMinReportLife, kReportLifePeriods * aGroup.period) };
+  if (aGroup.getsDomainLoad) {
+    report.domain = self_.failureDomain;
+    report.life = std::max(report.life, kMinRelayedReportLife);
+  }
+  Send(EncodePeer(self_.id, report), aGroup.endpoints);
+}
+
+void
+LoadExchange::Send(std::string_view aDatagram, const std::vector<UdpEndpoint>& aReceivers)
+{
   error_code ignored; // A report that is not sent is replaced by the next one.
-  for (const auto& endpoint : aGroup.endpoints)
-    socket_.send_to(asio::buffer(datagram), endpoint, 0, ignored);
+  for (const UdpEndpoint& receiver : aReceivers)
+    socket_.send_to(asio::buffer(aDatagram), receiver, 0, ignored);
 }
 
 void
 LoadExchange::SendToAll(const PeerMessage& aMessage)
 {
   const std::string datagram = EncodePeer(self_.id, aMessage);
-  for (const ReceiverGroup* group : { &sameDomainGroup_, &sameRegionGroup_, &otherRegionsGroup_ }) {
-    for (const auto& endpoint : group->endpoints) {
-      error_code error;
-      socket_.send_to(asio::buffer(datagram), endpoint, 0, error);
-      if (error)
-        Log(LogLevel::Warning, "peers", "datagram not sent", { { "error", error.message() } });
-    }
+  for (const UdpEndpoint& receiver : all_) {
+    error_code error;
+    socket_.send_to(asio::buffer(datagram), receiver, 0, error);
+    if (error)
+      Log(LogLevel::Warning, "peers", "datagram not sent", { { "error", error.message() } });
   }
 }
 
+bool
+LoadExchange::MustForward(const PeerEnvelope& aEnvelope, const UdpEndpoint& aSender) const
+{
+  const auto* load = std::get_if<PeerLoad>(&aEnvelope.message);
+  if (load == nullptr || !load->domain || *load->domain == self_.failureDomain)
+    return false;
+  const auto& sameDomain = sameDomainGroup_.endpoints;
+  return std::find(sameDomain.begin(), sameDomain.end(), aSender) == sameDomain.end();
+}
+
 asio::awaitable<void>
 LoadExchange::Receive()
 {
@@ -148,12 +142,16 @@
     // The error reports that a receiver of an earlier datagram is unreachable.
     if (error)
       continue;
-    const auto message = DecodePeer({ datagram.data(), byteCount });
-    if (message)
-      messageHandler_(*message);
-    else
+    const std::string_view bytes(datagram.data(), byteCount);
+    const auto message = DecodePeer(bytes);
+    if (!message) {
       Log(
         LogLevel::Warning, "peers", "malformed datagram", { { "error", message.error().message } });
+      continue;
+    }
+    if (MustForward(*message, senderEndpoint))
+      Send(bytes, sameDomainGroup_.endpoints);
+    hooks_.messageReceived(*message);
   }
 }
 
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -129,6 +129,11 @@
   view_ = std::move(aView);
   const auto vms = static_cast<double>(std::max<size_t>(view_->knownVms.size(), 1));
   retries_.SetBurst(std::max(1.0, kRetryBudgetShare * options_.retrySlack / vms));
+  otherVmsInDomain_.clear();
+  for (const Vm& vm : view_->knownVms) {
+    if (vm.failureDomain == options_.failureDomain && vm.id != options_.self)
+      otherVmsInDomain_.insert(vm.id);
+  }
 
   std::map<BackendId, std::unique_ptr<InstanceTracker>> previous = std::move(trackers_);
   trackers_.clear();
@@ -600,6 +605,12 @@
   return loads;
 }
 
+std::vector<InstanceLoad>
+Dispatcher::DomainLoad() const
+{
+  return peerLoads_.AddReportsOf(otherVmsInDomain_, OwnLoad());
+}
+
 size_t
 Dispatcher::WaitingCount() const
 {
--- a/lib/Steering/PeerLoads.cpp
+++ b/lib/Steering/PeerLoads.cpp
@@ -18,7 +18,8 @@
 PeerLoads::OnReport(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad)
 {
   std::vector<uint32_t> changed;
-  Report& report = reportsByVm_[aVm];
+  const LoadSource source = aLoad.domain ? LoadSource(*aLoad.domain) : LoadSource(aVm);
+  Report& report = reportsBySource_[source];
   SubtractReport(report, changed);
   report = { .expiresAt = aNow + aLoad.life };
   for (const InstanceLoad& load : aLoad.loads) {
@@ -35,13 +36,13 @@
 PeerLoads::DropExpired(TimePoint aNow)
 {
   std::vector<uint32_t> changed;
-  for (auto report = reportsByVm_.begin(); report != reportsByVm_.end();) {
+  for (auto report = reportsBySource_.begin(); report != reportsBySource_.end();) {
     if (aNow < report->second.expiresAt) {
       ++report;
       continue;
     }
     SubtractReport(report->second, changed);
-    report = reportsByVm_.erase(report);
+    report = reportsBySource_.erase(report);
   }
   return changed;
 }
@@ -53,4 +54,25 @@
   return sum == inFlightByInstance_.end() ? 0 : sum->second;
 }
 
+std::vector<InstanceLoad>
+PeerLoads::AddReportsOf(const std::set<VmId>& aVms, const std::vector<InstanceLoad>& aOwn) const
+{
+  std::map<uint32_t, uint16_t> sums;
+  const auto add = [&sums](const std::vector<InstanceLoad>& aLoads) {
+    for (const InstanceLoad& load : aLoads)
+      sums[load.instance] += load.inFlight;
+  };
+  add(aOwn);
+  for (const VmId& vm : aVms) {
+    const auto report = reportsBySource_.find(LoadSource(vm));
+    if (report != reportsBySource_.end())
+      add(report->second.loads);
+  }
+  std::vector<InstanceLoad> loads;
+  loads.reserve(sums.size());
+  for (const auto& [instance, inFlight] : sums)
+    loads.push_back({ .instance = instance, .inFlight = inFlight });
+  return loads;
+}
+
 } // namespace dfm
--- a/unittests/Steering/PeerLoadsTest.cpp
+++ b/unittests/Steering/PeerLoadsTest.cpp
@@ -27,6 +27,33 @@
   cr_assert(loads.InFlightAt(7) == 0 && loads.InFlightAt(8) == 4);
 }
 
+/// Guards against a failure domain's sum that replaces the report of the VM that sent it, or that
+/// counts after it has expired.
+Test(PeerLoads, CountsTheSumsOfOtherDomains)
+{
+  PeerLoads loads;
+  const TimePoint start{ 100s };
+  const VmId relay("vm-1");
+  loads.OnReport(start, relay, { .loads = { { .instance = 7, .inFlight = 3 } }, .life = 1s });
+  const FailureDomainId domain("south-a");
+  loads.OnReport(
+    start, relay, { .domain = domain, .loads = { { .instance = 7, .inFlight = 2 } }, .life = 2s });
+  cr_assert(loads.InFlightAt(7) == 5);
+  const std::vector<InstanceLoad> own{ { .instance = 6, .inFlight = 1 },
+                                       { .instance = 7, .inFlight = 1 } };
+  const std::vector<InstanceLoad> expected{ { .instance = 6, .inFlight = 1 },
+                                            { .instance = 7, .inFlight = 4 } };
+  cr_assert(loads.AddReportsOf({ relay, VmId("vm-9") }, own) == expected);
+  loads.OnReport(start + 500ms,
+                 VmId("vm-2"),
+                 { .domain = domain, .loads = { { .instance = 7, .inFlight = 6 } }, .life = 2s });
+  cr_assert(loads.InFlightAt(7) == 9);
+  loads.DropExpired(start + 1s);
+  cr_assert(loads.InFlightAt(7) == 6);
+  loads.DropExpired(start + 2500ms);
+  cr_assert(loads.InFlightAt(7) == 0);
+}
+
 /// Guards against running sums that differ from the sum of the reports in force.
 Test(PeerLoads, EqualsTheSumOfTheReports)
 {
