--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -7,6 +7,7 @@
 #include "dragonflymoor/Net/DatagramSocket.h"
 #include "dragonflymoor/Net/FrameConnection.h"
 #include "dragonflymoor/Steering/PeerMessages.h"
+#include "dragonflymoor/Steering/StateDelegation.h"
 #include "dragonflymoor/Steering/StoreFollowing.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -54,13 +55,16 @@
   asio::awaitable<void> RegisterAndListVms();
   asio::awaitable<void> ListVms();
   asio::awaitable<void> PollPeers();
-  asio::awaitable<void> RequestState(Endpoint aPeer);
+  /// Asks a peer for the fleet state. Returns whether the peer named others to ask in its place.
+  asio::awaitable<bool> RequestState(Endpoint aPeer);
   asio::awaitable<void> AcceptPeers();
   asio::awaitable<void> Tick();
   /// Logs aMessage and passes to keeper_ whether the store is reachable.
   void ReportStoreReachable(std::string_view aMessage);
   void OnStoreCallEnd(ObjectKind aKind, const std::optional<StoreError>& aError);
-  StateReply MakeStateReply(const StateRequest& aRequest) const;
+  StateReply MakeStateReply(const StateRequest& aRequest);
+  /// PackObjects of the present state, kept until the state changes.
+  const std::string& PackedSnapshot(ObjectKind aKind);
   void OnStateReply(const VmId& aFrom, const StateReply& aReply);
   void StartMembership();
   /// Passes registeredVms_ to membership_ as candidates.
@@ -75,6 +79,13 @@
   ViewPublisher publishView_;
   FleetKeeper keeper_;
   StoreFollowing storeFollowing_;
+  StateDelegation delegation_;
+  struct PackedState
+  {
+    uint64_t revision = 0;
+    std::string bytes;
+  };
+  std::array<PackedState, kObjectKindCount> packedStates_;
   Random random_;
   DatagramSocket datagrams_;
   tcp::acceptor acceptor_;
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -86,6 +86,8 @@
   /// Whether the store answers this VM and has done so long enough for lapsed entries to be
   /// registered again.
   bool IsStoreSteady(TimePoint aNow) const;
+  /// Whether another VM reported so recently.
+  bool IsStoreSteadyAtPeer(TimePoint aNow) const;
   /// Removes instances whose time to register again is over. True when there were any.
   bool OnTick(TimePoint aNow);
 
--- a/include/dragonflymoor/Steering/PeerMessages.h
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -5,6 +5,7 @@
 #include "dragonflymoor/Steering/FleetKeeper.h"
 #include "dragonflymoor/Wire/Codec.h"
 #include <array>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -24,6 +25,10 @@
 /// Sent over TCP. Asks for the objects of every kind of which the receiver knows a later revision.
 struct StateRequest
 {
+  /// The sender's failure domain and port for other VMs. Empty when the receiver must not name
+  /// other VMs in its place.
+  FailureDomainId domain;
+  Endpoint peers;
   /// The sender's revision of each kind of object.
   std::array<uint64_t, kObjectKindCount> revisions{};
 
@@ -39,14 +44,19 @@
     ObjectSet set;        ///< All objects, or those that changed since the requested revision.
     bool complete = true; ///< Whether set has all objects, not only changed ones.
     std::vector<std::string> removed; ///< Names of removed objects if not complete.
+    /// PackObjects(set.objects); encoded in their place unless empty. Empty after decoding.
+    std::string packed;
 
     bool operator==(const Kind&) const = default;
   };
   /// Whether the store has answered the sender for long enough that expired entries are registered
   /// again.
   bool storeSteady = false;
-  /// Whether the store answers the sender's own calls.
+  /// Whether the store answered the sender, or the VM from which the sender has the state.
   bool storeReachable = false;
+  Duration answerAge{}; ///< Time since then.
+  /// VMs that serve the asker instead of the sender. If there are any, the reply has no objects.
+  std::vector<Endpoint> delegates;
   std::vector<Kind> kinds;
 
   bool operator==(const StateReply&) const = default;
@@ -63,6 +73,10 @@
   bool operator==(const PeerEnvelope&) const = default;
 };
 
+/// Encodes and compresses objects. Safe to call from any thread.
+std::string
+PackObjects(const std::map<std::string, std::string>& aObjects);
+
 /// Encodes one datagram or the payload of one frame. Safe to call from any thread.
 std::string
 EncodePeer(const VmId& aSender, const PeerMessage& aMessage);
--- a/include/dragonflymoor/Steering/StoreFollowing.h
+++ b/include/dragonflymoor/Steering/StoreFollowing.h
@@ -18,7 +18,8 @@
 /// Decides whether this VM follows the platform's store, that is, reads and watches its objects by
 /// calls of its own, or receives changes from a VM that does. Calls are priced and share the
 /// store's rate limit, so in each region a few VMs, chosen from the membership by rendezvous
-/// hashing, follow the store for the others. A VM that gets no answer from them follows the store
+/// hashing, are asked by the others: the first of them follows the store, the second asks the first
+/// and takes over when that no longer answers. A VM that gets no answer from them follows the store
 /// itself. No I/O, no clock. Not thread-safe.
 class StoreFollowing
 {
@@ -33,9 +34,16 @@
   /// IsStoreReachable().
   bool OnStoreCallEnd(ObjectKind aKind, bool aAnswered);
 
-  /// Another VM reported that the store answers its own calls. True when this VM, which has never
-  /// reached the store, now assumes that the store is reachable.
-  bool OnPeerReportsStoreReachable(TimePoint aNow);
+  /// Another VM answered a state request; aStoreAnswerAge is the time since the store answered that
+  /// VM, or the one that serves it, and is empty when neither reaches the store. True when this VM,
+  /// which has never reached the store, now assumes that the store is reachable.
+  bool OnPeerAnswer(TimePoint aNow, std::optional<Duration> aStoreAnswerAge);
+
+  /// Another VM named VMs to ask in its place. They are asked for some seconds; then the other VM is
+  /// asked again, as chains of VMs that rely on each other would grow with each change.
+  void OnDelegates(TimePoint aNow, std::vector<Endpoint> aDelegates);
+  /// A state request to aPeer got no answer.
+  void OnPeerRequestFailed(const Endpoint& aPeer);
 
   /// The store answered the last call of each kind, or another VM reported it reachable before this
   /// VM ever reached it.
@@ -49,16 +57,22 @@
   /// answers its state requests.
   bool IsServedByFollower(TimePoint aNow) const;
 
-  /// Whether this VM may report to others that the store is reachable. Only its own calls count, as
-  /// two VMs must not rely on each other.
-  bool MayReportStoreReachable(TimePoint aNow) const
-  {
-    return IsStoreReachable() && !IsServedByFollower(aNow);
-  }
+  /// Time since the store answered this VM or the VM that serves it, as reported to others; empty
+  /// when neither reaches the store. The time adds up along a chain of VMs, so that VMs which rely
+  /// on each other soon notice the loss of the store.
+  std::optional<Duration> StoreAnswerAge(TimePoint aNow) const;
+
+  /// Whether this VM must list the registered VMs: followers do so for all others, which learn of
+  /// them from membership.
+  bool MustListVms(TimePoint aNow) const;
 
   /// Peers of which one is to be asked for the fleet state; empty for a VM that follows the store.
   std::vector<Endpoint> PeersToAsk(TimePoint aNow, const std::vector<Vm>& aRegistered) const;
 
+  /// Whether peers may name others in their place. A VM that has lost the store asks any VM, and
+  /// those that it is directed to might rely on it.
+  bool MayBeRedirected(TimePoint aNow) const;
+
   /// Longest wait between two calls to a store that does not answer.
   Duration MaxRetryWait(TimePoint aNow) const;
 
@@ -69,15 +83,27 @@
   bool IsSeed() const;
   bool IsMembershipSettled(TimePoint aNow) const;
   bool IsFollower(TimePoint aNow) const;
+  /// Whether another VM reported recently that the store answers.
+  bool HasFreshPeerReport(TimePoint aNow) const;
+  bool MustAskDelegate(TimePoint aNow) const;
+  /// The one of aPeers that this VM asks until a request fails. VMs that changed at will between
+  /// peers could be named as delegates to each other.
+  std::vector<Endpoint> PreferredPeer(std::vector<Endpoint> aPeers) const;
 
   StoreFollowingOptions options_;
   std::vector<Vm> liveVms_;
-  std::vector<Vm> followers_;        ///< Of the own region, as far as this VM knows its members.
-  size_t followersInAllRegions_ = 1; ///< Of all regions.
+  /// The VMs of the own region that the others ask, as far as this VM knows its members. The first
+  /// one follows the store.
+  std::vector<Vm> followers_;
+  size_t regionCount_ = 1;
   std::optional<TimePoint> membershipStartedAt_;
   std::array<bool, kObjectKindCount> lastCallAnswered_{}; ///< The last call of each kind.
   bool wasEverReachable_ = false;
   std::optional<TimePoint> peerReportedReachableAt_;
+  std::optional<TimePoint> lastPeerAnswer_;
+  size_t failedRootRequests_ = 0;
+  std::vector<Endpoint> delegates_; ///< Serve this VM in place of the followers or seeds.
+  TimePoint delegatesNamedAt_;
 };
 
 } // namespace dfm
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -30,6 +30,9 @@
 constexpr Duration kPeerPollPeriod = 200ms;
 constexpr Duration kPeerRequestTimeout = 500ms;
 
+/// Wait before this VM asks a VM that another one named.
+constexpr Duration kRedirectWait = 10ms;
+
 /// Period at which the registered VMs are listed. Membership reports changes sooner.
 constexpr Duration kListVmsPeriod = 10s;
 
@@ -92,6 +95,7 @@
   , keeper_(std::move(aDecoders), MakeKeeperHooks(aMetrics))
   , storeFollowing_(
       { .self = options_.self, .seeds = options_.seeds, .startedAt = ReadClocks().monotonic })
+  , delegation_({ .ownDomain = options_.self.failureDomain })
   , random_(options_.randomSeed)
   , datagrams_(
       aContext,
@@ -250,7 +254,8 @@
     wait = std::min(2 * wait, kMaxRegisterRetryWait);
   }
   while (!stopping_) {
-    co_await ListVms();
+    if (registeredVms_.empty() || storeFollowing_.MustListVms(ReadClocks().monotonic))
+      co_await ListVms();
     co_await Sleep(kListVmsPeriod);
   }
 }
@@ -276,13 +281,14 @@
 {
   for (;;) {
     const auto peers = storeFollowing_.PeersToAsk(ReadClocks().monotonic, registeredVms_);
+    bool redirected = false;
     if (!peers.empty())
-      co_await RequestState(peers[random_.Below(peers.size())]);
-    co_await Sleep(kPeerPollPeriod);
+      redirected = co_await RequestState(peers[random_.Below(peers.size())]);
+    co_await Sleep(redirected ? kRedirectWait : kPeerPollPeriod);
   }
 }
 
-asio::awaitable<void>
+asio::awaitable<bool>
 FleetSync::RequestState(Endpoint aPeer)
 {
   tcp::socket socket(context_);
@@ -298,18 +304,29 @@
   co_await asio::post(context_, asio::use_awaitable);
   if (error) {
     metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
-    co_return;
+    storeFollowing_.OnPeerRequestFailed(aPeer);
+    co_return false;
   }
+  enum class Outcome
+  {
+    NoAnswer,
+    Answered,
+    Redirected,
+  };
+  const auto outcome = std::make_shared<Outcome>(Outcome::NoAnswer);
   const auto done = std::make_shared<asio::steady_timer>(context_, kPeerRequestTimeout);
   auto connection = std::make_shared<FrameConnection>(
     std::move(socket),
     FrameConnection::Hooks{
-      .payload = [this, done](const std::string& aPayload) -> tl::expected<void, CodecError> {
+      .payload =
+        [this, done, outcome](const std::string& aPayload) -> tl::expected<void, CodecError> {
         const auto envelope = DecodePeer(aPayload);
         if (!envelope)
           return tl::unexpected(envelope.error());
-        if (const auto* reply = std::get_if<StateReply>(&envelope->message))
+        if (const auto* reply = std::get_if<StateReply>(&envelope->message)) {
+          *outcome = reply->delegates.empty() ? Outcome::Answered : Outcome::Redirected;
           OnStateReply(envelope->sender, *reply);
+        }
         done->cancel();
         return {};
       },
@@ -317,11 +334,18 @@
     });
   connection->Start();
   StateRequest request;
+  if (storeFollowing_.MayBeRedirected(ReadClocks().monotonic)) {
+    request.domain = options_.self.failureDomain;
+    request.peers = options_.self.peers;
+  }
   for (size_t i = 0; i < kObjectKindCount; ++i)
     request.revisions[i] = keeper_.Snapshot(static_cast<ObjectKind>(i)).revision;
   connection->Send({ .payload = EncodePeer(options_.self.id, request) });
   co_await done->async_wait(kAwaitTuple);
   connection->Close();
+  if (*outcome == Outcome::NoAnswer)
+    storeFollowing_.OnPeerRequestFailed(aPeer);
+  co_return *outcome == Outcome::Redirected;
 }
 
 asio::awaitable<void>
@@ -360,13 +384,30 @@
   }
 }
 
+const std::string&
+FleetSync::PackedSnapshot(ObjectKind aKind)
+{
+  const ObjectSet& set = keeper_.Snapshot(aKind);
+  PackedState& packed = packedStates_[static_cast<size_t>(aKind)];
+  if (packed.bytes.empty() || packed.revision != set.revision)
+    packed = { .revision = set.revision, .bytes = PackObjects(set.objects) };
+  return packed.bytes;
+}
+
 StateReply
-FleetSync::MakeStateReply(const StateRequest& aRequest) const
+FleetSync::MakeStateReply(const StateRequest& aRequest)
 {
   const TimePoint now = ReadClocks().monotonic;
-  const bool vouches = storeFollowing_.MayReportStoreReachable(now);
-  StateReply reply{ .storeSteady = vouches && keeper_.IsStoreSteady(now),
-                    .storeReachable = vouches };
+  const auto answerAge = storeFollowing_.StoreAnswerAge(now);
+  const bool answersThisVm = answerAge == Duration{};
+  const bool steady = answersThisVm ? keeper_.IsStoreSteady(now) : keeper_.IsStoreSteadyAtPeer(now);
+  StateReply reply{ .storeSteady = answerAge && steady,
+                    .storeReachable = answerAge.has_value(),
+                    .answerAge = answerAge.value_or(Duration{}) };
+  if (!aRequest.domain.Empty())
+    reply.delegates = delegation_.DelegatesFor(now, aRequest.domain, aRequest.peers);
+  if (!reply.delegates.empty())
+    return reply;
   for (size_t i = 0; i < kObjectKindCount; ++i) {
     const auto kind = static_cast<ObjectKind>(i);
     const ObjectSet& set = keeper_.Snapshot(kind);
@@ -374,7 +415,8 @@
       continue;
     const auto changes = keeper_.ChangesSince(kind, aRequest.revisions[i]);
     if (!changes) {
-      reply.kinds.push_back({ .kind = kind, .set = set });
+      reply.kinds.push_back(
+        { .kind = kind, .set = { .revision = set.revision }, .packed = PackedSnapshot(kind) });
       continue;
     }
     StateReply::Kind answer{ .kind = kind, .set = { .revision = set.revision }, .complete = false };
@@ -393,8 +435,13 @@
 FleetSync::OnStateReply(const VmId& aFrom, const StateReply& aReply)
 {
   const TimePoint now = ReadClocks().monotonic;
+  if (!aReply.delegates.empty()) {
+    storeFollowing_.OnDelegates(now, aReply.delegates);
+    return;
+  }
   keeper_.OnPeerStoreStatus(now, aReply.storeSteady);
-  if (aReply.storeReachable && storeFollowing_.OnPeerReportsStoreReachable(now))
+  if (storeFollowing_.OnPeerAnswer(
+        now, aReply.storeReachable ? std::optional(aReply.answerAge) : std::nullopt))
     ReportStoreReachable("store reached through another vm");
   for (const StateReply::Kind& kind : aReply.kinds) {
     if (kind.complete) {
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -170,9 +170,8 @@
   if (found == instances_.end())
     return;
   Entry& entry = found->second;
-  const bool steadyAtPeer =
-    peerReportedSteadyAt_ && aNow - *peerReportedSteadyAt_ < kPeerReportLifetime;
-  if (!IsStoreSteady(aNow) && !steadyAtPeer && entry.instance && !entry.instance->draining) {
+  if (!IsStoreSteady(aNow) && !IsStoreSteadyAtPeer(aNow) && entry.instance &&
+      !entry.instance->draining) {
     const TimePoint from = storeReachable_ ? *storeRegainedAt_ : aNow;
     entry.removeAt = from + kReregistrationTime;
     lapsed_.insert(aName);
@@ -191,6 +190,12 @@
   return storeReachable_ && (!storeRegainedAt_ || aNow - *storeRegainedAt_ >= kReregistrationTime);
 }
 
+bool
+FleetKeeper::IsStoreSteadyAtPeer(TimePoint aNow) const
+{
+  return peerReportedSteadyAt_ && aNow - *peerReportedSteadyAt_ < kPeerReportLifetime;
+}
+
 void
 FleetKeeper::OnPeerStoreStatus(TimePoint aNow, bool aSteady)
 {
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Steering/PeerMessages.h"
 
+#include "dragonflymoor/Support/Compression.h"
 #include "steering_generated.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -15,6 +16,10 @@
 /// Largest values that fit into the fields of an encoded load report.
 constexpr uint16_t kMaxInFlight = std::numeric_limits<uint8_t>::max();
 constexpr int64_t kMaxLifeMs = std::numeric_limits<uint16_t>::max();
+constexpr int64_t kMaxAgeMs = std::numeric_limits<uint32_t>::max();
+
+/// Limit of the size of unpacked objects: tens of thousands of instances.
+constexpr size_t kMaxUnpackedBytes = 32UL * 1024 * 1024;
 
 /// Type and offset of an encoded message body.
 struct Body
@@ -34,8 +39,11 @@
   }
   const int64_t lifeMs = std::chrono::duration_cast<std::chrono::milliseconds>(aLoad.life).count();
   return { wire::SteeringBody::LoadReport,
-           wire::CreateLoadReportDirect(
-             aBuilder, &instances, &inFlight, static_cast<uint16_t>(std::min(lifeMs, kMaxLifeMs)))
+           wire::CreateLoadReportDirect(aBuilder,
+                                        &instances,
+                                        &inFlight,
+                                        static_cast<uint16_t>(std::min(lifeMs, kMaxLifeMs)),
+                                        aLoad.domain ? aLoad.domain->Value().c_str() : nullptr)
              .Union() };
 }
 
@@ -46,13 +54,37 @@
            wire::CreateCrashNotice(aBuilder, aCrash.reportId, aCrash.fingerprint).Union() };
 }
 
+Offset<wire::PeerEndpoint>
+Encode(FlatBufferBuilder& aBuilder, const Endpoint& aEndpoint)
+{
+  return wire::CreatePeerEndpointDirect(aBuilder, aEndpoint.address.c_str(), aEndpoint.port);
+}
+
+Endpoint
+DecodeEndpoint(const wire::PeerEndpoint& aEndpoint)
+{
+  return { .address = aEndpoint.address()->str(), .port = aEndpoint.port() };
+}
+
+std::vector<Offset<wire::ObjectEntry>>
+Encode(FlatBufferBuilder& aBuilder, const std::map<std::string, std::string>& aObjects)
+{
+  std::vector<Offset<wire::ObjectEntry>> entries;
+  entries.reserve(aObjects.size());
+  for (const auto& [name, content] : aObjects)
+    entries.push_back(wire::CreateObjectEntryDirect(aBuilder, name.c_str(), content.c_str()));
+  return entries;
+}
+
 Body
 Encode(FlatBufferBuilder& aBuilder, const StateRequest& aRequest)
 {
   const auto revisions =
     aBuilder.CreateVector(aRequest.revisions.data(), aRequest.revisions.size());
+  const auto domain = aBuilder.CreateString(aRequest.domain.Value());
+  const auto peers = Encode(aBuilder, aRequest.peers);
   return { wire::SteeringBody::StateRequest,
-           wire::CreateStateRequest(aBuilder, revisions).Union() };
+           wire::CreateStateRequest(aBuilder, revisions, domain, peers).Union() };
 }
 
 Body
@@ -60,28 +92,46 @@
 {
   std::vector<Offset<wire::StateSet>> sets;
   sets.reserve(aReply.kinds.size());
-  for (const auto& [kind, set, complete, removed] : aReply.kinds) {
+  for (const auto& [kind, set, complete, removed, packed] : aReply.kinds) {
+    const std::vector<uint8_t> packedBytes(packed.begin(), packed.end());
     std::vector<Offset<wire::ObjectEntry>> entries;
-    entries.reserve(set.objects.size());
-    for (const auto& [name, content] : set.objects)
-      entries.push_back(wire::CreateObjectEntryDirect(aBuilder, name.c_str(), content.c_str()));
+    if (packed.empty())
+      entries = Encode(aBuilder, set.objects);
     std::vector<Offset<flatbuffers::String>> names;
     names.reserve(removed.size());
     for (const std::string& name : removed)
       names.push_back(aBuilder.CreateString(name));
-    sets.push_back(wire::CreateStateSetDirect(
-      aBuilder, static_cast<uint8_t>(kind), set.revision, &entries, complete, &names));
+    sets.push_back(wire::CreateStateSetDirect(aBuilder,
+                                              static_cast<uint8_t>(kind),
+                                              set.revision,
+                                              &entries,
+                                              complete,
+                                              &names,
+                                              &packedBytes));
   }
-  return {
-    wire::SteeringBody::StateReply,
-    wire::CreateStateReplyDirect(aBuilder, aReply.storeSteady, &sets, aReply.storeReachable).Union()
-  };
+  std::vector<Offset<wire::PeerEndpoint>> delegates;
+  delegates.reserve(aReply.delegates.size());
+  for (const Endpoint& delegate : aReply.delegates)
+    delegates.push_back(Encode(aBuilder, delegate));
+  const int64_t ageMs =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aReply.answerAge).count();
+  return { wire::SteeringBody::StateReply,
+           wire::CreateStateReplyDirect(
+             aBuilder,
+             aReply.storeSteady,
+             &sets,
+             aReply.storeReachable,
+             static_cast<uint32_t>(std::clamp(ageMs, int64_t{ 0 }, kMaxAgeMs)),
+             &delegates)
+             .Union() };
 }
 
 Decoded<PeerMessage>
 Decode(const wire::LoadReport& aReport)
 {
   PeerLoad load{ .life = std::chrono::milliseconds(aReport.life_ms()) };
+  if (aReport.domain() != nullptr)
+    load.domain = FailureDomainId(aReport.domain()->str());
   const auto* instances = aReport.instances();
   const auto* inFlight = aReport.in_flight();
   if (instances == nullptr || inFlight == nullptr)
@@ -102,14 +152,45 @@
     return tl::unexpected(CodecError{ "state request: wrong number of revisions" });
   for (size_t i = 0; i < request.revisions.size(); ++i)
     request.revisions[i] = aRequest.revisions()->Get(static_cast<flatbuffers::uoffset_t>(i));
+  if (aRequest.domain() != nullptr)
+    request.domain = FailureDomainId(aRequest.domain()->str());
+  if (aRequest.peers() != nullptr)
+    request.peers = DecodeEndpoint(*aRequest.peers());
   return request;
 }
 
+void
+DecodeObjects(const flatbuffers::Vector<Offset<wire::ObjectEntry>>& aEntries, ObjectSet& aSet)
+{
+  for (const wire::ObjectEntry* entry : aEntries)
+    aSet.objects[entry->name()->str()] = entry->content()->str();
+}
+
+tl::expected<void, CodecError>
+UnpackObjects(std::string_view aPacked, ObjectSet& aSet)
+{
+  const auto bytes = Inflate(aPacked, kMaxUnpackedBytes);
+  if (!bytes)
+    return tl::unexpected(CodecError{ "state reply: malformed compressed objects" });
+  flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes->data()), bytes->size());
+  if (!verifier.VerifyBuffer<wire::ObjectList>(nullptr))
+    return tl::unexpected(CodecError{ "state reply: malformed packed objects" });
+  const auto* list = flatbuffers::GetRoot<wire::ObjectList>(bytes->data());
+  if (list->objects() != nullptr)
+    DecodeObjects(*list->objects(), aSet);
+  return {};
+}
+
 Decoded<PeerMessage>
 Decode(const wire::StateReply& aReply)
 {
   StateReply reply{ .storeSteady = aReply.store_steady(),
-                    .storeReachable = aReply.store_reachable() };
+                    .storeReachable = aReply.store_reachable(),
+                    .answerAge = std::chrono::milliseconds(aReply.answer_age_ms()) };
+  if (aReply.delegates() != nullptr) {
+    for (const wire::PeerEndpoint* delegate : *aReply.delegates())
+      reply.delegates.push_back(DecodeEndpoint(*delegate));
+  }
   if (aReply.sets() == nullptr)
     return reply;
   for (const wire::StateSet* set : *aReply.sets()) {
@@ -118,9 +199,13 @@
         CodecError{ fmt::format("state reply: unknown object kind {}", set->kind()) });
     StateReply::Kind kind{ .kind = static_cast<ObjectKind>(set->kind()), .complete = set->whole() };
     kind.set.revision = set->revision();
-    if (set->objects() != nullptr) {
-      for (const wire::ObjectEntry* entry : *set->objects())
-        kind.set.objects[entry->name()->str()] = entry->content()->str();
+    if (set->objects() != nullptr)
+      DecodeObjects(*set->objects(), kind.set);
+    if (set->packed() != nullptr && set->packed()->size() > 0) {
+      const auto* packed = reinterpret_cast<const char*>(set->packed()->data());
+      const auto unpacked = UnpackObjects({ packed, set->packed()->size() }, kind.set);
+      if (!unpacked)
+        return tl::unexpected(unpacked.error());
     }
     if (set->removed() != nullptr) {
       for (const flatbuffers::String* name : *set->removed())
@@ -151,6 +236,15 @@
 
 } // namespace
 
+std::string
+PackObjects(const std::map<std::string, std::string>& aObjects)
+{
+  FlatBufferBuilder builder;
+  const auto entries = Encode(builder, aObjects);
+  builder.Finish(wire::CreateObjectListDirect(builder, &entries));
+  return Deflate({ reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() });
+}
+
 std::string
 EncodePeer(const VmId& aSender, const PeerMessage& aMessage)
 {
--- a/lib/Steering/StoreFollowing.cpp
+++ b/lib/Steering/StoreFollowing.cpp
@@ -2,20 +2,23 @@
 
 #include "dragonflymoor/Support/Hash.h"
 #include <algorithm>
-#include <map>
+#include <set>
 
 namespace dfm {
 
 namespace {
 
-/// VMs of one region that follow the store; the others ask them. Each call to the store is priced
-/// higher than the bytes of a request between failure domains.
+/// VMs of one region that the others ask for the state. Only the first follows the store: each call
+/// to it costs more than the bytes of a request between failure domains.
 constexpr size_t kFollowersPerRegion = 2;
 
 /// A starting VM asks the seeds for the state and follows the store itself when none has answered
 /// for this long. Many VMs start at once, and would load the store together.
 constexpr Duration kSeedAnswerTimeout = 700ms;
 
+/// The wait for the seeds ends after this time in any case.
+constexpr Duration kMaxSeedWait = 1500ms;
+
 /// After the start of membership a VM knows only some of the others, and would take itself for a
 /// follower. During this time the seeds follow the store, and other VMs do so only when no seed
 /// sends them the state.
@@ -25,6 +28,12 @@
 /// long.
 constexpr Duration kPeerReportLifetime = 800ms;
 
+/// Added to it for a VM that asks a delegate, whose own report has some age.
+constexpr Duration kDelegatedReportLifetime = 400ms;
+
+/// How long delegates are asked before the VM that named them is asked again.
+constexpr Duration kDelegateLifetime = 3s;
+
 /// Longest waits of followers and of the others between two calls to a store that does not answer.
 /// The followers retry more often, so they notice its return first.
 constexpr Duration kMaxFollowerRetryWait = 800ms;
@@ -33,7 +42,7 @@
 /// Pause between two watches of one kind for each VM that follows the store, and the longest: a
 /// burst of changes comes in a few answers instead of one each. The longest leaves most of the 2.5
 /// s within which changes must be in force.
-constexpr Duration kPausePerFollower = 10ms;
+constexpr Duration kPausePerFollower = 50ms;
 constexpr Duration kMaxPause = 400ms;
 
 } // namespace
@@ -50,9 +59,9 @@
     membershipStartedAt_ = aNow;
   liveVms_ = aLiveVms;
   followers_.clear();
-  std::map<RegionId, size_t> perRegion;
+  std::set<RegionId> regions;
   for (const Vm& vm : liveVms_) {
-    ++perRegion[vm.region];
+    regions.insert(vm.region);
     if (vm.region == options_.self.region)
       followers_.push_back(vm);
   }
@@ -61,9 +70,7 @@
     return RendezvousWeight(region, aLeft.id.Value()) > RendezvousWeight(region, aRight.id.Value());
   });
   followers_.resize(std::min(followers_.size(), kFollowersPerRegion));
-  followersInAllRegions_ = 0;
-  for (const auto& [name, vms] : perRegion)
-    followersInAllRegions_ += std::min(vms, kFollowersPerRegion);
+  regionCount_ = std::max<size_t>(regions.size(), 1);
 }
 
 bool
@@ -76,9 +83,13 @@
 }
 
 bool
-StoreFollowing::OnPeerReportsStoreReachable(TimePoint aNow)
+StoreFollowing::OnPeerAnswer(TimePoint aNow, std::optional<Duration> aStoreAnswerAge)
 {
-  peerReportedReachableAt_ = aNow;
+  lastPeerAnswer_ = aNow;
+  if (!aStoreAnswerAge)
+    return false;
+  const TimePoint answeredAt = aNow - *aStoreAnswerAge;
+  peerReportedReachableAt_ = std::max(peerReportedReachableAt_.value_or(answeredAt), answeredAt);
   if (wasEverReachable_)
     return false;
   wasEverReachable_ = true;
@@ -111,24 +122,44 @@
 {
   if (!IsMembershipSettled(aNow))
     return IsSeed();
-  return std::any_of(followers_.begin(), followers_.end(), [this](const Vm& aVm) {
-    return aVm.id == options_.self.id;
-  });
+  return !followers_.empty() && followers_.front().id == options_.self.id;
 }
 
 bool
 StoreFollowing::IsWaitingForSeeds(TimePoint aNow) const
 {
+  const TimePoint lastSign = lastPeerAnswer_.value_or(options_.startedAt);
   return !wasEverReachable_ && !options_.seeds.empty() && !IsSeed() &&
-         aNow - options_.startedAt < kSeedAnswerTimeout;
+         aNow - lastSign < kSeedAnswerTimeout && aNow - options_.startedAt < kMaxSeedWait;
+}
+
+bool
+StoreFollowing::HasFreshPeerReport(TimePoint aNow) const
+{
+  const Duration lifetime =
+    kPeerReportLifetime + (delegates_.empty() ? Duration{} : kDelegatedReportLifetime);
+  return peerReportedReachableAt_ && aNow - *peerReportedReachableAt_ < lifetime;
+}
+
+std::optional<Duration>
+StoreFollowing::StoreAnswerAge(TimePoint aNow) const
+{
+  if (!IsStoreReachable())
+    return std::nullopt;
+  return IsServedByFollower(aNow) ? aNow - *peerReportedReachableAt_ : Duration{};
+}
+
+bool
+StoreFollowing::MustListVms(TimePoint aNow) const
+{
+  return !IsMembershipSettled(aNow) || IsFollower(aNow) || liveVms_.size() <= 1;
 }
 
 bool
 StoreFollowing::IsServedByFollower(TimePoint aNow) const
 {
   // After this VM itself has lost the store, it keeps calling until the store answers it again.
-  return IsStoreReachable() && peerReportedReachableAt_ &&
-         aNow - *peerReportedReachableAt_ < kPeerReportLifetime && !IsFollower(aNow);
+  return IsStoreReachable() && HasFreshPeerReport(aNow) && !IsFollower(aNow);
 }
 
 std::vector<Endpoint>
@@ -142,12 +173,17 @@
   if (IsStoreReachable()) {
     if (IsFollower(aNow))
       return {};
-    if (IsMembershipSettled(aNow))
-      add(followers_);
-    else
-      peers = options_.seeds;
+    if (MustAskDelegate(aNow))
+      return { delegates_.front() };
+    if (!IsMembershipSettled(aNow))
+      return PreferredPeer(options_.seeds);
+    const bool isSecond = followers_.size() > 1 && followers_[1].id == options_.self.id;
+    if (isSecond)
+      return { followers_.front().peers };
+    add(followers_);
+    return PreferredPeer(std::move(peers));
   } else if (IsWaitingForSeeds(aNow)) {
-    peers = options_.seeds;
+    return delegates_.empty() ? PreferredPeer(options_.seeds) : std::vector{ delegates_.front() };
   } else {
     add(liveVms_);
     if (liveVms_.size() <= 1) {
@@ -159,6 +195,47 @@
   return peers;
 }
 
+void
+StoreFollowing::OnDelegates(TimePoint aNow, std::vector<Endpoint> aDelegates)
+{
+  lastPeerAnswer_ = aNow;
+  delegates_ = std::move(aDelegates);
+  delegatesNamedAt_ = aNow;
+}
+
+bool
+StoreFollowing::MustAskDelegate(TimePoint aNow) const
+{
+  if (delegates_.empty())
+    return false;
+  // Delegates that do not reach the store are given up before their last report expires.
+  const bool reachesStore = HasFreshPeerReport(aNow + kPeerReportLifetime / 2);
+  return aNow - delegatesNamedAt_ < (reachesStore ? kDelegateLifetime : kPeerReportLifetime);
+}
+
+void
+StoreFollowing::OnPeerRequestFailed(const Endpoint& aPeer)
+{
+  if (std::erase(delegates_, aPeer) == 0)
+    ++failedRootRequests_;
+}
+
+std::vector<Endpoint>
+StoreFollowing::PreferredPeer(std::vector<Endpoint> aPeers) const
+{
+  std::erase(aPeers, options_.self.peers);
+  if (aPeers.empty())
+    return {};
+  const uint64_t first = HashBytes(options_.self.id.Value());
+  return { aPeers[(first + failedRootRequests_) % aPeers.size()] };
+}
+
+bool
+StoreFollowing::MayBeRedirected(TimePoint aNow) const
+{
+  return IsStoreReachable() || IsWaitingForSeeds(aNow);
+}
+
 Duration
 StoreFollowing::MaxRetryWait(TimePoint aNow) const
 {
@@ -168,7 +245,7 @@
 Duration
 StoreFollowing::PauseBetweenWatches() const
 {
-  return std::min(kPausePerFollower * static_cast<int64_t>(followersInAllRegions_), kMaxPause);
+  return std::min(kPausePerFollower * static_cast<int64_t>(regionCount_), kMaxPause);
 }
 
 } // namespace dfm
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -22,12 +22,18 @@
 struct CrashNotice;
 struct CrashNoticeBuilder;
 
+struct PeerEndpoint;
+struct PeerEndpointBuilder;
+
 struct StateRequest;
 struct StateRequestBuilder;
 
 struct ObjectEntry;
 struct ObjectEntryBuilder;
 
+struct ObjectList;
+struct ObjectListBuilder;
+
 struct StateSet;
 struct StateSetBuilder;
 
@@ -104,7 +110,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INSTANCES = 4,
     VT_IN_FLIGHT = 6,
-    VT_LIFE_MS = 8
+    VT_LIFE_MS = 8,
+    VT_DOMAIN = 10
   };
   const flatbuffers::Vector<uint32_t> *instances() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_INSTANCES);
@@ -115,6 +122,9 @@
   uint16_t life_ms() const {
     return GetField<uint16_t>(VT_LIFE_MS, 0);
   }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCES) &&
@@ -122,6 +132,8 @@
            VerifyOffset(verifier, VT_IN_FLIGHT) &&
            verifier.VerifyVector(in_flight()) &&
            VerifyField<uint16_t>(verifier, VT_LIFE_MS, 2) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
            verifier.EndTable();
   }
 };
@@ -139,6 +151,9 @@
   void add_life_ms(uint16_t life_ms) {
     fbb_.AddElement<uint16_t>(LoadReport::VT_LIFE_MS, life_ms, 0);
   }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(LoadReport::VT_DOMAIN, domain);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -154,8 +169,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> instances = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> in_flight = 0,
-    uint16_t life_ms = 0) {
+    uint16_t life_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> domain = 0) {
   LoadReportBuilder builder_(_fbb);
+  builder_.add_domain(domain);
   builder_.add_in_flight(in_flight);
   builder_.add_instances(instances);
   builder_.add_life_ms(life_ms);
@@ -166,14 +183,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint32_t> *instances = nullptr,
     const std::vector<uint8_t> *in_flight = nullptr,
-    uint16_t life_ms = 0) {
+    uint16_t life_ms = 0,
+    const char *domain = nullptr) {
   auto instances__ = instances ? _fbb.CreateVector<uint32_t>(*instances) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint8_t>(*in_flight) : 0;
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return dfm::wire::CreateLoadReport(
       _fbb,
       instances__,
       in_flight__,
-      life_ms);
+      life_ms,
+      domain__);
 }
 
 struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -227,18 +247,94 @@
   return builder_.Finish();
 }
 
+struct PeerEndpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PeerEndpointBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_PORT = 6
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           verifier.EndTable();
+  }
+};
+
+struct PeerEndpointBuilder {
+  typedef PeerEndpoint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PeerEndpoint::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(PeerEndpoint::VT_PORT, port, 0);
+  }
+  explicit PeerEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PeerEndpoint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PeerEndpoint>(end);
+    fbb_.Required(o, PeerEndpoint::VT_ADDRESS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PeerEndpoint> CreatePeerEndpoint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0) {
+  PeerEndpointBuilder builder_(_fbb);
+  builder_.add_address(address);
+  builder_.add_port(port);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PeerEndpoint> CreatePeerEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    uint16_t port = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return dfm::wire::CreatePeerEndpoint(
+      _fbb,
+      address__,
+      port);
+}
+
 struct StateRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StateRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISIONS = 4
+    VT_REVISIONS = 4,
+    VT_DOMAIN = 6,
+    VT_PEERS = 8
   };
   const flatbuffers::Vector<uint64_t> *revisions() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_REVISIONS);
   }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
+  const dfm::wire::PeerEndpoint *peers() const {
+    return GetPointer<const dfm::wire::PeerEndpoint *>(VT_PEERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REVISIONS) &&
            verifier.VerifyVector(revisions()) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
+           VerifyOffset(verifier, VT_PEERS) &&
+           verifier.VerifyTable(peers()) &&
            verifier.EndTable();
   }
 };
@@ -250,6 +346,12 @@
   void add_revisions(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> revisions) {
     fbb_.AddOffset(StateRequest::VT_REVISIONS, revisions);
   }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(StateRequest::VT_DOMAIN, domain);
+  }
+  void add_peers(flatbuffers::Offset<dfm::wire::PeerEndpoint> peers) {
+    fbb_.AddOffset(StateRequest::VT_PEERS, peers);
+  }
   explicit StateRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -263,19 +365,28 @@
 
 inline flatbuffers::Offset<StateRequest> CreateStateRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> revisions = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> revisions = 0,
+    flatbuffers::Offset<flatbuffers::String> domain = 0,
+    flatbuffers::Offset<dfm::wire::PeerEndpoint> peers = 0) {
   StateRequestBuilder builder_(_fbb);
+  builder_.add_peers(peers);
+  builder_.add_domain(domain);
   builder_.add_revisions(revisions);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<StateRequest> CreateStateRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<uint64_t> *revisions = nullptr) {
+    const std::vector<uint64_t> *revisions = nullptr,
+    const char *domain = nullptr,
+    flatbuffers::Offset<dfm::wire::PeerEndpoint> peers = 0) {
   auto revisions__ = revisions ? _fbb.CreateVector<uint64_t>(*revisions) : 0;
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return dfm::wire::CreateStateRequest(
       _fbb,
-      revisions__);
+      revisions__,
+      domain__,
+      peers);
 }
 
 struct ObjectEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -345,6 +456,58 @@
       content__);
 }
 
+struct ObjectList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ObjectListBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OBJECTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *objects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *>(VT_OBJECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_OBJECTS) &&
+           verifier.VerifyVector(objects()) &&
+           verifier.VerifyVectorOfTables(objects()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ObjectListBuilder {
+  typedef ObjectList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_objects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>>> objects) {
+    fbb_.AddOffset(ObjectList::VT_OBJECTS, objects);
+  }
+  explicit ObjectListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ObjectList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ObjectList>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ObjectList> CreateObjectList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>>> objects = 0) {
+  ObjectListBuilder builder_(_fbb);
+  builder_.add_objects(objects);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ObjectList> CreateObjectListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *objects = nullptr) {
+  auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<dfm::wire::ObjectEntry>>(*objects) : 0;
+  return dfm::wire::CreateObjectList(
+      _fbb,
+      objects__);
+}
+
 struct StateSet FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StateSetBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -352,7 +515,8 @@
     VT_REVISION = 6,
     VT_OBJECTS = 8,
     VT_WHOLE = 10,
-    VT_REMOVED = 12
+    VT_REMOVED = 12,
+    VT_PACKED = 14
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -369,6 +533,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED);
   }
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -380,6 +547,8 @@
            VerifyOffset(verifier, VT_REMOVED) &&
            verifier.VerifyVector(removed()) &&
            verifier.VerifyVectorOfStrings(removed()) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
            verifier.EndTable();
   }
 };
@@ -403,6 +572,9 @@
   void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed) {
     fbb_.AddOffset(StateSet::VT_REMOVED, removed);
   }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(StateSet::VT_PACKED, packed);
+  }
   explicit StateSetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -420,9 +592,11 @@
     uint64_t revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::ObjectEntry>>> objects = 0,
     bool whole = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0) {
   StateSetBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_packed(packed);
   builder_.add_removed(removed);
   builder_.add_objects(objects);
   builder_.add_whole(whole);
@@ -436,16 +610,19 @@
     uint64_t revision = 0,
     const std::vector<flatbuffers::Offset<dfm::wire::ObjectEntry>> *objects = nullptr,
     bool whole = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr,
+    const std::vector<uint8_t> *packed = nullptr) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<dfm::wire::ObjectEntry>>(*objects) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return dfm::wire::CreateStateSet(
       _fbb,
       kind,
       revision,
       objects__,
       whole,
-      removed__);
+      removed__,
+      packed__);
 }
 
 struct StateReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -453,7 +630,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_STORE_STEADY = 4,
     VT_SETS = 6,
-    VT_STORE_REACHABLE = 8
+    VT_STORE_REACHABLE = 8,
+    VT_ANSWER_AGE_MS = 10,
+    VT_DELEGATES = 12
   };
   bool store_steady() const {
     return GetField<uint8_t>(VT_STORE_STEADY, 0) != 0;
@@ -464,6 +643,12 @@
   bool store_reachable() const {
     return GetField<uint8_t>(VT_STORE_REACHABLE, 0) != 0;
   }
+  uint32_t answer_age_ms() const {
+    return GetField<uint32_t>(VT_ANSWER_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::PeerEndpoint>> *delegates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dfm::wire::PeerEndpoint>> *>(VT_DELEGATES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STORE_STEADY, 1) &&
@@ -471,6 +656,10 @@
            verifier.VerifyVector(sets()) &&
            verifier.VerifyVectorOfTables(sets()) &&
            VerifyField<uint8_t>(verifier, VT_STORE_REACHABLE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWER_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_DELEGATES) &&
+           verifier.VerifyVector(delegates()) &&
+           verifier.VerifyVectorOfTables(delegates()) &&
            verifier.EndTable();
   }
 };
@@ -488,6 +677,12 @@
   void add_store_reachable(bool store_reachable) {
     fbb_.AddElement<uint8_t>(StateReply::VT_STORE_REACHABLE, static_cast<uint8_t>(store_reachable), 0);
   }
+  void add_answer_age_ms(uint32_t answer_age_ms) {
+    fbb_.AddElement<uint32_t>(StateReply::VT_ANSWER_AGE_MS, answer_age_ms, 0);
+  }
+  void add_delegates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::PeerEndpoint>>> delegates) {
+    fbb_.AddOffset(StateReply::VT_DELEGATES, delegates);
+  }
   explicit StateReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -503,8 +698,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     bool store_steady = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::StateSet>>> sets = 0,
-    bool store_reachable = false) {
+    bool store_reachable = false,
+    uint32_t answer_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dfm::wire::PeerEndpoint>>> delegates = 0) {
   StateReplyBuilder builder_(_fbb);
+  builder_.add_delegates(delegates);
+  builder_.add_answer_age_ms(answer_age_ms);
   builder_.add_sets(sets);
   builder_.add_store_reachable(store_reachable);
   builder_.add_store_steady(store_steady);
@@ -515,13 +714,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     bool store_steady = false,
     const std::vector<flatbuffers::Offset<dfm::wire::StateSet>> *sets = nullptr,
-    bool store_reachable = false) {
+    bool store_reachable = false,
+    uint32_t answer_age_ms = 0,
+    const std::vector<flatbuffers::Offset<dfm::wire::PeerEndpoint>> *delegates = nullptr) {
   auto sets__ = sets ? _fbb.CreateVector<flatbuffers::Offset<dfm::wire::StateSet>>(*sets) : 0;
+  auto delegates__ = delegates ? _fbb.CreateVector<flatbuffers::Offset<dfm::wire::PeerEndpoint>>(*delegates) : 0;
   return dfm::wire::CreateStateReply(
       _fbb,
       store_steady,
       sets__,
-      store_reachable);
+      store_reachable,
+      answer_age_ms,
+      delegates__);
 }
 
 struct SteeringMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/unittests/Steering/ManifestTest.cpp
+++ b/unittests/Steering/ManifestTest.cpp
@@ -114,6 +114,8 @@
   StateReply reply;
   reply.storeSteady = true;
   reply.storeReachable = true;
+  reply.answerAge = 250ms;
+  reply.delegates = { { .address = "10.0.0.7", .port = 7540 } };
   StateReply::Kind& kind = reply.kinds.emplace_back();
   kind.kind = ObjectKind::Instances;
   kind.set.revision = 9;
@@ -123,8 +125,13 @@
   const PeerMessage messages[] = {
     PeerLoad{ .loads = { { .instance = 7, .inFlight = 3 }, { .instance = 9, .inFlight = 1 } },
               .life = 1500ms },
+    PeerLoad{ .domain = FailureDomainId("north-a"),
+              .loads = { { .instance = 7, .inFlight = 3 } },
+              .life = 2s },
     PeerCrashReport{ .reportId = 5, .fingerprint = 6 },
-    StateRequest{ .revisions = { 1, 2, 3 } },
+    StateRequest{ .domain = FailureDomainId("north-a"),
+                  .peers = { .address = "10.0.0.7", .port = 7540 },
+                  .revisions = { 1, 2, 3 } },
     reply,
   };
   for (const PeerMessage& message : messages) {
@@ -135,6 +142,18 @@
     for (size_t size = 0; size < bytes.size(); ++size)
       static_cast<void>(DecodePeer(std::string_view(bytes).substr(0, size)));
   }
+  // Packed objects arrive like others.
+  StateReply packed = reply;
+  packed.kinds[0].packed = PackObjects(packed.kinds[0].set.objects);
+  packed.kinds[0].set.objects.clear();
+  const std::string packedBytes = EncodePeer(VmId("vm-1"), packed);
+  const auto unpacked = DecodePeer(packedBytes);
+  cr_assert(unpacked.has_value() && unpacked->message == PeerMessage(reply));
+  for (size_t i = 0; i < packedBytes.size(); ++i) {
+    std::string damaged = packedBytes;
+    damaged[i] = static_cast<char>(damaged[i] ^ 0x55);
+    static_cast<void>(DecodePeer(damaged));
+  }
   const bool holds =
     rc::check("random bytes are an error or a message",
               [](const std::string& aBytes) { static_cast<void>(DecodePeer(aBytes)); });
--- a/unittests/Steering/StoreFollowingTest.cpp
+++ b/unittests/Steering/StoreFollowingTest.cpp
@@ -1,4 +1,5 @@
 #include "dragonflymoor/Steering/StoreFollowing.h"
+#include "dragonflymoor/Steering/StateDelegation.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
@@ -16,20 +17,31 @@
 /// Time within which an operator's change must be in force at every VM.
 constexpr Duration kInForce = 2500ms;
 
+struct RegionOptions
+{
+  size_t vms = 3;
+  size_t seeds = 3;
+  size_t domains = 1;
+  size_t maxAskersOfOwnDomain = 24;
+  size_t maxAskersOfOtherDomains = 2;
+};
+
 /// VMs of one region in virtual time, with a store whose revision is the time of its last change.
 class Region
 {
 public:
-  Region(size_t aVms, size_t aSeeds)
+  explicit Region(const RegionOptions& aOptions)
+    : options_(aOptions)
   {
-    for (size_t i = 0; i < aVms; ++i) {
+    for (size_t i = 0; i < aOptions.vms; ++i) {
       Node node{ .vm = { .id = VmId("vm-" + std::to_string(i)),
                          .region = RegionId("north"),
-                         .failureDomain = FailureDomainId("north-a"),
+                         .failureDomain =
+                           FailureDomainId("north-" + std::to_string(i % aOptions.domains)),
                          .peers = { .address = "10.0.0." + std::to_string(i), .port = 1 } } };
       nodes_.push_back(node);
     }
-    for (size_t i = 0; i < aSeeds; ++i)
+    for (size_t i = 0; i < aOptions.seeds; ++i)
       seeds_.push_back(nodes_[i].vm.peers);
     for (Node& node : nodes_)
       StartNode(node);
@@ -81,12 +93,31 @@
     return nodes_.size();
   }
   unsigned CallCount() const { return calls_; }
+  /// Number of VMs with the state.
+  size_t InformedCount() const
+  {
+    return static_cast<size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](const Node& aNode) {
+      return aNode.knownStoreTime > TimePoint{};
+    }));
+  }
+  /// The most VMs to which one VM has sent the whole state.
+  size_t MostWholeStatesSent() const
+  {
+    size_t most = 0;
+    for (const Node& node : nodes_)
+      most = std::max(most, node.wholeStatesSent);
+    return most;
+  }
+  /// Number of whole states sent from one failure domain to another.
+  size_t WholeStatesBetweenDomains() const { return wholeStatesBetweenDomains_; }
 
 private:
   struct Node
   {
     Vm vm;
     std::optional<StoreFollowing> following{};
+    std::optional<StateDelegation> delegation{};
+    size_t wholeStatesSent = 0;
     TimePoint startedAt{};
     TimePoint knownStoreTime{}; ///< Time of the store's state that the VM knows.
     TimePoint nextAskTime{};
@@ -100,6 +131,10 @@
   {
     aNode.following.emplace(
       StoreFollowingOptions{ .self = aNode.vm, .seeds = seeds_, .startedAt = now_ });
+    aNode.delegation.emplace(
+      StateDelegationOptions{ .ownDomain = aNode.vm.failureDomain,
+                              .maxAskersOfOwnDomain = options_.maxAskersOfOwnDomain,
+                              .maxAskersOfOtherDomains = options_.maxAskersOfOtherDomains });
     aNode.startedAt = now_;
     aNode.knownStoreTime = {};
     aNode.member = false;
@@ -144,16 +179,36 @@
     const auto peers = aNode.following->PeersToAsk(now_, {});
     if (peers.empty())
       return;
-    const Endpoint& peer = peers[asks_++ % peers.size()];
-    for (const Node& other : nodes_) {
-      if (other.vm.peers != peer || other.diedAt)
+    const Endpoint peer = peers[asks_++ % peers.size()];
+    for (Node& other : nodes_) {
+      if (other.vm.peers != peer)
         continue;
-      aNode.knownStoreTime = std::max(aNode.knownStoreTime, other.knownStoreTime);
-      if (other.following->MayReportStoreReachable(now_))
-        aNode.following->OnPeerReportsStoreReachable(now_);
+      if (other.diedAt)
+        aNode.following->OnPeerRequestFailed(peer);
+      else
+        Answer(other, aNode);
     }
   }
 
+  void Answer(Node& aAnswering, Node& aAsking)
+  {
+    std::vector<Endpoint> delegates;
+    if (aAsking.following->MayBeRedirected(now_))
+      delegates =
+        aAnswering.delegation->DelegatesFor(now_, aAsking.vm.failureDomain, aAsking.vm.peers);
+    if (!delegates.empty()) {
+      aAsking.following->OnDelegates(now_, std::move(delegates));
+      aAsking.nextAskTime = now_ + kStep;
+      return;
+    }
+    if (aAsking.knownStoreTime == TimePoint{} && aAnswering.knownStoreTime > TimePoint{}) {
+      ++aAnswering.wholeStatesSent;
+      wholeStatesBetweenDomains_ += aAnswering.vm.failureDomain == aAsking.vm.failureDomain ? 0 : 1;
+    }
+    aAsking.knownStoreTime = std::max(aAsking.knownStoreTime, aAnswering.knownStoreTime);
+    aAsking.following->OnPeerAnswer(now_, aAnswering.following->StoreAnswerAge(now_));
+  }
+
   void Call(Node& aNode)
   {
     ++calls_;
@@ -164,32 +219,58 @@
       aNode.knownStoreTime = now_;
   }
 
+  RegionOptions options_;
   std::vector<Node> nodes_;
   std::vector<Endpoint> seeds_;
   TimePoint now_{ 100s };
   std::optional<TimePoint> membersChangeTime_;
   size_t asks_ = 0;
   unsigned calls_ = 0;
+  size_t wholeStatesBetweenDomains_ = 0;
 };
 
 /// Guards against a starting fleet in which every VM calls the store, which caused 1,100 calls
 /// before the first request.
 Test(StoreFollowing, FewVmsCallTheStore)
 {
-  Region region(20, 3);
+  Region region({ .vms = 20 });
   region.Run(2s);
   cr_assert(region.StoreCallerCount() <= 3);
   region.Run(8s);
-  cr_assert(region.StoreCallerCount() == 2);
+  cr_assert(region.StoreCallerCount() == 1);
   cr_assert(region.Lag() <= 2 * kAskPeriod);
 }
 
+/// Guards against a starting fleet in which the seeds send the whole state to every VM: with
+/// hundreds of VMs this took so long that most of them called the store, and filled the links
+/// between the regions.
+Test(StoreFollowing, SeedsSendTheStateToFewVms)
+{
+  struct Case
+  {
+    size_t vms;
+    size_t domains;
+  };
+  for (const Case& testCase : { Case{ 27, 9 }, Case{ 78, 6 }, Case{ 297, 9 } }) {
+    Region region({ .vms = testCase.vms, .domains = testCase.domains });
+    region.Run(1500ms);
+    cr_assert(region.InformedCount() == testCase.vms);
+    cr_assert(region.StoreCallerCount() <= 3);
+    cr_assert(region.MostWholeStatesSent() <= 24 + 2 * (testCase.domains - 1));
+    cr_assert(region.WholeStatesBetweenDomains() <= 2 * 3 * testCase.domains);
+    region.Run(8s);
+    cr_assert(region.StoreCallerCount() == 1);
+    // The rest of the time is for the watch of the store.
+    cr_assert(region.Lag() <= kInForce / 2);
+  }
+}
+
 /// Guards against two VMs that each take the other's word for being up to date with the store, so
 /// that neither calls it.
 Test(StoreFollowing, VmsDoNotRelyOnEachOther)
 {
   for (const size_t seeds : { 0, 1, 2, 3 }) {
-    Region region(3, seeds);
+    Region region({ .seeds = seeds });
     for (int i = 0; i < 200; ++i) {
       region.Run(kStep);
       cr_assert(region.StoreCallerCount() >= 1);
@@ -204,7 +285,11 @@
 {
   const bool holds = rc::check("kills, restarts and refusals", [] {
     const auto vms = *rc::gen::inRange<size_t>(3, 12);
-    Region region(vms, *rc::gen::inRange<size_t>(0, 4));
+    Region region({ .vms = vms,
+                    .seeds = *rc::gen::inRange<size_t>(0, 4),
+                    .domains = *rc::gen::inRange<size_t>(1, 4),
+                    .maxAskersOfOwnDomain = *rc::gen::inRange<size_t>(1, 4),
+                    .maxAskersOfOtherDomains = *rc::gen::inRange<size_t>(1, 3) });
     std::set<size_t> dead;
     std::set<size_t> refused;
     region.Run(4s);
--- a/unittests/Support/SupportTest.cpp
+++ b/unittests/Support/SupportTest.cpp
@@ -1,3 +1,4 @@
+#include "dragonflymoor/Support/Compression.h"
 #include "dragonflymoor/Support/Hash.h"
 #include "dragonflymoor/Support/Log.h"
 #include <criterion/criterion.h>
@@ -36,6 +37,26 @@
   cr_assert(line == aCase->expected, "%s", line.c_str());
 }
 
+/// Guards against bytes lost in compression, and against malformed or oversized input that exhausts
+/// the memory.
+Test(Compression, RoundTripWithinTheLimit)
+{
+  const bool ok = rc::check([](const std::string& aText) {
+    std::string repeated;
+    for (int i = 0; i < 50; ++i)
+      repeated += aText;
+    const std::string packed = Deflate(repeated);
+    RC_ASSERT(Inflate(packed, repeated.size()) == repeated);
+    if (!repeated.empty())
+      RC_ASSERT(!Inflate(packed, repeated.size() - 1));
+    RC_ASSERT(!Inflate(packed.substr(0, packed.size() / 2), repeated.size()));
+    static_cast<void>(Inflate(aText, 1000));
+  });
+  cr_assert(ok);
+  const std::string zeros(10'000'000, '\0');
+  cr_assert(not Inflate(Deflate(zeros), 1000).has_value());
+}
+
 // Guards against placements that move more than the keys of a removed candidate.
 Test(Hash, RendezvousMovesOnlyKeysOfTheRemovedCandidate)
 {
