Finish requests that are arriving when a VM stops

Cause: an operator of a similar system reported that requests just accepted were cut off during a planned stop. Here a stop ended as soon as no whole request was unanswered, so that a request whose header or body was still arriving was cut off after 2.5 s; an idle connection was closed although bytes of a request lay in its socket, and connections that the system had accepted but the VM had not yet taken over were reset.

Change: the stop ends when all callers' connections are closed, or at the end of the stop time; a connection is closed as idle only after 200 ms without a byte; the connections that wait to be accepted are taken over before the port closes.

Test: Gateway/PlannedStopServesARequestThatIsArriving; it fails before the change (the connection closes without an answer).

--- a/include/dragonflymoor/Gateway/CallerFront.h
+++ b/include/dragonflymoor/Gateway/CallerFront.h
@@ -42,8 +42,10 @@
   void OnTick(TimePoint aNow);
   /// From now on, each connection is closed after its next answer.
   void BeginStop() { stopping_ = true; }
-  /// Closes the connections on which no request has begun to arrive.
-  void CloseIdleConnections();
+  /// Closes the connections on which no request has begun to arrive for a moment.
+  void CloseIdleConnections(TimePoint aNow);
+  /// Number of open connections, idle ones included.
+  size_t ConnectionCount() const { return connections_.size(); }
   /// Number of requests whose answer is not yet written.
   size_t UnansweredRequestCount() const { return requests_.size(); }
 
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -23,6 +23,10 @@
 /// Used until the first manifest, which states the limits, is known.
 constexpr CallerLimits kDefaultLimits{};
 
+/// A connection that has been idle for less than this is not closed at a stop: its caller may have
+/// sent a request already.
+constexpr Duration kMinIdleTime = 200ms;
+
 /// Hop-by-hop headers, besides those that the "Connection" header names.
 constexpr std::array kConnectionHeaders{
   http::field::connection, http::field::keep_alive, http::field::proxy_connection,
@@ -534,11 +538,14 @@
 }
 
 void
-CallerFront::CloseIdleConnections()
+CallerFront::CloseIdleConnections(TimePoint aNow)
 {
   error_code ignored; // The connection is dropped in any case.
   for (const ConnectionPtr& connection : connections_) {
-    if (connection->phase == Connection::Phase::Idle)
+    const bool idle = connection->phase == Connection::Phase::Idle &&
+                      aNow - connection->phaseStart >= kMinIdleTime &&
+                      connection->socket.available(ignored) == 0;
+    if (idle)
       connection->socket.close(ignored);
   }
 }
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -76,6 +76,8 @@
   /// Reads the settings again. Invalid settings are logged and the previous ones remain in force.
   void ReloadSettings(std::string_view aCause);
   void BeginStop();
+  /// Takes over the connections that wait to be accepted and closes the listening port.
+  void StopAccepting();
   /// Runs the steps of a graceful stop that are due. Returns whether the stop has ended.
   bool ContinueStop(TimePoint aNow);
 
@@ -368,20 +370,36 @@
   asio::post(controlContext, [this] { fleetSync.BeginStop(); });
 }
 
+void
+Gateway::Impl::StopAccepting()
+{
+  error_code error;
+  if (!callerAcceptor.is_open())
+    return;
+  // Connections that the system has accepted already would be reset.
+  callerAcceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(trafficContext);
+    callerAcceptor.accept(socket, error);
+    if (!error)
+      callerFront.Serve(std::move(socket));
+  }
+  callerAcceptor.close(error);
+}
+
 bool
 Gateway::Impl::ContinueStop(TimePoint aNow)
 {
   const Duration stopDuration = aNow - *stopBeginTime;
   if (stopDuration >= kCloseIdleDelay && !idleConnectionsClosed) {
     idleConnectionsClosed = true;
-    callerFront.CloseIdleConnections();
+    callerFront.CloseIdleConnections(aNow);
   }
   if (stopDuration < kStopAcceptingDelay)
     return false;
-  error_code ignored; // The acceptor is discarded even if closing it fails.
-  callerAcceptor.close(ignored);
-  callerFront.CloseIdleConnections();
-  if (callerFront.UnansweredRequestCount() > 0 && stopDuration < settings.stopTime - kExitMargin)
+  StopAccepting();
+  callerFront.CloseIdleConnections(aNow);
+  if (callerFront.ConnectionCount() > 0 && stopDuration < settings.stopTime - kExitMargin)
     return false;
   Log(LogLevel::Info,
       kComponent,
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -2,9 +2,12 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <sstream>
 
 namespace {
 
@@ -338,6 +341,44 @@
   cr_assert(not fixture.Store().Contains("dragonflymoor-vms", vmName));
 }
 
+/// Guards against a planned stop that cuts off a request which began to arrive before the VM
+/// stopped accepting connections.
+Test(Gateway, PlannedStopServesARequestThatIsArriving)
+{
+  ServingFixture fixture;
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(ToTcp(fixture.Settings().self.callers));
+  Request request(http::verb::get, "/read/1", 11);
+  request.set(http::field::host, "shop.example");
+  request.set("X-Request-Id", "arriving");
+  std::ostringstream stream;
+  stream << request;
+  const std::string bytes = stream.str();
+  const size_t half = bytes.size() / 2;
+  asio::write(socket, asio::buffer(bytes.data(), half));
+  fixture.BeginStop();
+  // The listening port closes when the VM stops accepting connections.
+  const bool acceptsNoMore = GatewayFixture::WaitUntil([&] {
+    tcp::socket probe(context);
+    error_code error;
+    probe.connect(ToTcp(fixture.Settings().self.callers), error);
+    return error == asio::error::connection_refused;
+  });
+  cr_assert(acceptsNoMore);
+  error_code error;
+  asio::write(socket, asio::buffer(bytes.data() + half, bytes.size() - half), error);
+  // The connections of a VM that has stopped close with it.
+  std::thread stopping([&] { fixture.Stop(); });
+  beast::flat_buffer buffer;
+  Response answer;
+  if (!error)
+    http::read(socket, buffer, answer, error);
+  stopping.join();
+  cr_assert(not error, "%s", error.message().c_str());
+  cr_assert(answer.result() == http::status::ok);
+}
+
 /// Guards against two faults when an instance has taken over the address of a former instance,
 /// which may belong to another service: the new instance serves requests that are meant for the
 /// former instance, or its refusal reaches the caller although a third instance could serve the
