Tell refused callers when to come back by the overload; refuse hopeless ones at once

Cause: a refused caller was told to come back after 150 to 400 ms whatever the load, which lands it in the same burst; it comes back once only. A request behind a queue that cannot be served within its waiting time waited for the whole of it before it was refused.

Return times one after the other at half of the start rate (trial): in a burst they still fall into it.

Change: ReturnSchedule computes the delay from the refused part of the load; MayStartInTime refuses at once. What waits and what is refused moves from Dispatcher.cpp to RequestQueue.cpp, unchanged otherwise.

Tests: Overload/*, a replay of load patterns over the dispatcher in virtual time. Before the change CallersRefusedInABurstAreServedAfterIt fails with 105 of 177 refused again, HopelessRequestsAreRefusedAtOnce with 0 of 1,831 at once.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -7,6 +7,7 @@
 #include "dragonflymoor/Steering/InstanceTracker.h"
 #include "dragonflymoor/Steering/ObjectCounter.h"
 #include "dragonflymoor/Steering/PeerLoads.h"
+#include "dragonflymoor/Steering/ReturnSchedule.h"
 #include "dragonflymoor/Steering/ShiftLimit.h"
 #include "dragonflymoor/Steering/SpillControl.h"
 #include "dragonflymoor/Steering/SplitChooser.h"
@@ -173,8 +174,13 @@
   std::vector<InstanceLoad> DomainLoad() const;
   size_t WaitingCount() const;
   size_t InFlightCount() const;
-  /// Random delay after which a refused request may be retried.
+  /// Delay after which a caller may come back that was refused although no service is overloaded.
   Duration RetryAfter();
+  /// A caller gets a refusal for aService. Returns the delay after which it may come back.
+  Duration OnRefusedCaller(TimePoint aNow,
+                           const ServiceId& aService,
+                           const Route& aRoute,
+                           TimePoint aDeadline);
 
 private:
   /// One instance of a service.
@@ -239,6 +245,7 @@
     Duration longestGoal{};    ///< Of its routes that had requests.
     ObjectCounter objects;
     SpillControl spill;
+    ReturnSchedule returns;
     bool hadRequests = false; ///< The service has had at least one request.
   };
   ServiceState& ServiceStateFor(const ServiceId& aService);
@@ -281,6 +288,9 @@
                         const Request& aRequest,
                         InstanceTracker& aInstance,
                         const AttemptEndReport& aReport);
+  /// Whether a slot will be free for a request within its waiting time, by the rate at which
+  /// requests start and by those that wait already.
+  bool MayStartInTime(TimePoint aNow, const Request& aRequest, const ServiceState& aState) const;
   Duration MaxWaitTime(const Request& aRequest, const ServiceState& aState) const;
   InstanceTracker* FindInstance(const BackendId& aInstance);
   /// Updates the indexes after the requests in flight or the health of aInstance changed.
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -411,8 +411,9 @@
       case Verdict::Refuse: {
         auto answer =
           MakeOwnAnswer(http::status::service_unavailable, "refused by the instance", request);
-        answer->set(http::field::retry_after,
-                    fmt::format("{:.2f}", ToSeconds(dispatcher_.RetryAfter())));
+        const Duration delay = dispatcher_.OnRefusedCaller(
+          ReadClocks().monotonic, attempt.service, *request.route, request.deadline);
+        answer->set(http::field::retry_after, fmt::format("{:.2f}", ToSeconds(delay)));
         co_return answer;
       }
       case Verdict::Fail: {
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-/// Bounds, as parts of the goal, of the time that a request waits for a slot before it is refused.
-/// Within an eighth of the goal a refusal costs the caller nothing.
-constexpr double kMinWaitShare = 0.125;
-constexpr double kMaxWaitShare = 0.5;
-
-/// Part of the maximum waiting time after which the newest requests are served first: otherwise the
-/// oldest would be answered late, and the newer ones after them as well.
-constexpr double kNewestFirstShare = 0.5;
-
 /// Part of the platform's bound that all VMs together use for repeats; the rest covers VMs that
 /// start or stop while the shares change.
 constexpr double kRetryBudgetShare = 0.7;
@@ -44,11 +35,6 @@
 
 constexpr Duration kSilenceCheckPeriod = 50ms;
 
-/// Bounds of the random retry delay given to refused callers: after the requests that wait now are
-/// done, and within the third of their time that callers allow for it.
-constexpr Duration kMinRetryAfter = 150ms;
-constexpr Duration kMaxRetryAfter = 400ms;
-
 /// Weight of the latest answer in a service's moving mean latency, which thus covers some dozens of
 /// answers.
 constexpr double kLatencyWeight = 0.03;
@@ -112,7 +98,9 @@
   if (found != services_.end())
     return found->second;
   return services_
-    .emplace(aService, ServiceState{ .spill = SpillControl(options_.region, options_.spill) })
+    .emplace(aService,
+             ServiceState{ .spill = SpillControl(options_.region, options_.spill),
+                           .returns = ReturnSchedule({}) })
     .first->second;
 }
 
@@ -212,24 +200,18 @@
     return;
   }
   // Requests that already wait go first, unless they wait for other instances.
-  if (!TryStart(aNow, aTicket, stored))
+  if (TryStart(aNow, aTicket, stored))
+    return;
+  if (MayStartInTime(aNow, stored, state))
     Enqueue(state, aTicket, stored);
-}
-
-void
-Dispatcher::Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest)
-{
-  auto position = aState.queue.end();
-  while (position != aState.queue.begin() &&
-         requests_.at(*std::prev(position)).spec.arrived > aRequest.spec.arrived)
-    --position;
-  aState.queue.insert(position, aTicket);
+  else
+    Refuse(aNow, aTicket, RefusalReason::Overload);
 }
 
 bool
 Dispatcher::TryStart(TimePoint aNow, Ticket aTicket, Request& aRequest)
 {
-  const ServiceState& state = ServiceStateFor(aRequest.service);
+  ServiceState& state = ServiceStateFor(aRequest.service);
   InstanceTracker* const instance = ChooseInstance(aNow, aRequest, state);
   if (instance == nullptr)
     return false;
@@ -248,6 +230,7 @@
     .spilled = spec.region != options_.region,
     .waited = aNow - aRequest.spec.arrived,
   };
+  state.returns.OnStart(aNow);
   instance->OnSend(aNow);
   UpdateIndexes(*instance);
   shifts_.OnStart(aNow, spec.region);
@@ -259,77 +242,6 @@
   return true;
 }
 
-void
-Dispatcher::Refuse(TimePoint aNow, Ticket aTicket, RefusalReason aReason)
-{
-  const auto found = requests_.find(aTicket);
-  assert(found != requests_.end() && "only a known request is refused");
-  const ServiceState& state = ServiceStateFor(found->second.service);
-  RequestRefusal refusal{ .reason = aReason,
-                          .retryAfter = RetryAfter(),
-                          .waited = aNow - found->second.spec.arrived,
-                          .service = found->second.service,
-                          .waiting = state.queue.size() };
-  for (const auto& [region, candidates] : state.regions) {
-    for (const Candidate& candidate : candidates.list) {
-      if (candidate.tracker->UnusableReasonAt(aNow) != Unusable::None)
-        continue;
-      ++refusal.instances;
-      refusal.slots += candidate.tracker->Spec().slots;
-      refusal.knownInFlight += candidate.tracker->KnownInFlight();
-    }
-  }
-  requests_.erase(found);
-  hooks_.refuseRequest(aTicket, refusal);
-}
-
-Duration
-Dispatcher::RetryAfter()
-{
-  return random_.Between(kMinRetryAfter, kMaxRetryAfter);
-}
-
-std::vector<Ticket>
-Dispatcher::OrderWaitingRequests(TimePoint aNow, const ServiceState& aState) const
-{
-  std::vector<Ticket> order(aState.queue.begin(), aState.queue.end());
-  const Request& oldest = requests_.at(order.front());
-  const Duration newestFirstAfter = Scale(MaxWaitTime(oldest, aState), kNewestFirstShare);
-  if (aNow - oldest.spec.arrived > newestFirstAfter)
-    std::reverse(order.begin(), order.end());
-  std::stable_sort(order.begin(), order.end(), [this](Ticket aLeft, Ticket aRight) {
-    return requests_.at(aLeft).spec.route->priority < requests_.at(aRight).spec.route->priority;
-  });
-  return order;
-}
-
-bool
-Dispatcher::HasFreeSlot(TimePoint aNow, const ServiceState& aState)
-{
-  for (const auto& [region, candidates] : aState.regions) {
-    for (const Candidate& candidate : candidates.list) {
-      if (candidate.tracker->FreeSlots(aNow) > 0 &&
-          candidate.tracker->UnusableReasonAt(aNow) == Unusable::None)
-        return true;
-    }
-  }
-  return false;
-}
-
-void
-Dispatcher::StartWaitingRequests(TimePoint aNow, const ServiceId& aService)
-{
-  ServiceState& state = ServiceStateFor(aService);
-  if (state.queue.empty())
-    return;
-  for (const Ticket ticket : OrderWaitingRequests(aNow, state)) {
-    if (!HasFreeSlot(aNow, state))
-      return;
-    if (TryStart(aNow, ticket, requests_.at(ticket)))
-      state.queue.remove(ticket);
-  }
-}
-
 void
 Dispatcher::Cancel(TimePoint aNow, Ticket aTicket)
 {
@@ -511,40 +423,6 @@
   crashes_.OnReport(aNow, aReport);
 }
 
-Duration
-Dispatcher::MaxWaitTime(const Request& aRequest, const ServiceState& aState) const
-{
-  const Duration goal = aRequest.spec.route->goal;
-  return std::clamp(
-    goal - aState.typicalLatency, Scale(goal, kMinWaitShare), Scale(goal, kMaxWaitShare));
-}
-
-void
-Dispatcher::RefuseExpiredRequests(TimePoint aNow)
-{
-  for (auto& [service, state] : services_) {
-    std::vector<Ticket> expired;
-    for (const Ticket ticket : state.queue) {
-      const Request& request = requests_.at(ticket);
-      if (aNow - request.spec.arrived >= MaxWaitTime(request, state) ||
-          aNow >= request.spec.deadline)
-        expired.push_back(ticket);
-    }
-    for (const Ticket ticket : expired) {
-      state.queue.remove(ticket);
-      const bool hasUsableInstance =
-        std::any_of(state.regions.begin(), state.regions.end(), [aNow](const auto& aRegion) {
-          return HasUsableInstance(aNow, aRegion.second);
-        });
-      const bool timedOut = aNow >= requests_.at(ticket).spec.deadline;
-      Refuse(aNow,
-             ticket,
-             timedOut ? RefusalReason::TimedOut
-                      : (hasUsableInstance ? RefusalReason::Overload : RefusalReason::NoInstance));
-    }
-  }
-}
-
 void
 Dispatcher::CheckSilentInstances(TimePoint aNow)
 {
--- /dev/null
+++ b/lib/Steering/RequestQueue.cpp
@@ -0,0 +1,178 @@
+#include "dragonflymoor/Steering/Dispatcher.h"
+
+#include "Scale.h"
+#include <algorithm>
+
+namespace dfm {
+
+namespace {
+
+/// Bounds, as parts of the goal, of the time that a request waits for a slot before it is refused.
+/// Within an eighth of the goal a refusal costs the caller nothing.
+constexpr double kMinWaitShare = 0.125;
+constexpr double kMaxWaitShare = 0.5;
+
+/// Part of the maximum waiting time after which the newest requests are served first: otherwise the
+/// oldest would be answered late, and the newer ones after them as well.
+constexpr double kNewestFirstShare = 0.5;
+
+/// Requests that start in a second from which on their rate tells how long others wait. In a fleet
+/// with less traffic the slots that become free are mostly those of other VMs' requests.
+constexpr double kMinStartsPerSecond = 5;
+
+/// The rate at which requests start varies; a request is refused at once only when it would wait
+/// this many times too long.
+constexpr double kWaitEstimateMargin = 1.5;
+
+/// Bounds of the random retry delay given to callers while no manifest is known.
+constexpr Duration kMinRetryAfter = 150ms;
+constexpr Duration kMaxRetryAfter = 400ms;
+
+} // namespace
+
+void
+Dispatcher::Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest)
+{
+  auto position = aState.queue.end();
+  while (position != aState.queue.begin() &&
+         requests_.at(*std::prev(position)).spec.arrived > aRequest.spec.arrived)
+    --position;
+  aState.queue.insert(position, aTicket);
+}
+
+bool
+Dispatcher::MayStartInTime(TimePoint aNow,
+                           const Request& aRequest,
+                           const ServiceState& aState) const
+{
+  const double startsPerSecond = aState.returns.StartsPerSecond(aNow);
+  if (startsPerSecond < kMinStartsPerSecond)
+    return true;
+  const unsigned priority = aRequest.spec.route->priority;
+  const auto ahead = std::count_if(aState.queue.begin(), aState.queue.end(), [&](Ticket aTicket) {
+    return requests_.at(aTicket).spec.route->priority <= priority;
+  });
+  const double maxWait = kWaitEstimateMargin * ToSeconds(MaxWaitTime(aRequest, aState));
+  return static_cast<double>(ahead) <= startsPerSecond * maxWait || HasFreeSlot(aNow, aState);
+}
+
+void
+Dispatcher::Refuse(TimePoint aNow, Ticket aTicket, RefusalReason aReason)
+{
+  const auto found = requests_.find(aTicket);
+  assert(found != requests_.end() && "only a known request is refused");
+  const Request& request = found->second;
+  const ServiceState& state = ServiceStateFor(request.service);
+  RequestRefusal refusal{
+    .reason = aReason,
+    .retryAfter =
+      OnRefusedCaller(aNow, request.service, *request.spec.route, request.spec.deadline),
+    .waited = aNow - request.spec.arrived,
+    .service = request.service,
+    .waiting = state.queue.size(),
+  };
+  for (const auto& [region, candidates] : state.regions) {
+    for (const Candidate& candidate : candidates.list) {
+      if (candidate.tracker->UnusableReasonAt(aNow) != Unusable::None)
+        continue;
+      ++refusal.instances;
+      refusal.slots += candidate.tracker->Spec().slots;
+      refusal.knownInFlight += candidate.tracker->KnownInFlight();
+    }
+  }
+  requests_.erase(found);
+  hooks_.refuseRequest(aTicket, refusal);
+}
+
+Duration
+Dispatcher::RetryAfter()
+{
+  return random_.Between(kMinRetryAfter, kMaxRetryAfter);
+}
+
+Duration
+Dispatcher::OnRefusedCaller(TimePoint aNow,
+                            const ServiceId& aService,
+                            const Route& aRoute,
+                            TimePoint aDeadline)
+{
+  return ServiceStateFor(aService).returns.OnRefusal(
+    aNow, aRoute.priority, aDeadline - aNow, random_);
+}
+
+std::vector<Ticket>
+Dispatcher::OrderWaitingRequests(TimePoint aNow, const ServiceState& aState) const
+{
+  std::vector<Ticket> order(aState.queue.begin(), aState.queue.end());
+  const Request& oldest = requests_.at(order.front());
+  const Duration newestFirstAfter = Scale(MaxWaitTime(oldest, aState), kNewestFirstShare);
+  if (aNow - oldest.spec.arrived > newestFirstAfter)
+    std::reverse(order.begin(), order.end());
+  std::stable_sort(order.begin(), order.end(), [this](Ticket aLeft, Ticket aRight) {
+    return requests_.at(aLeft).spec.route->priority < requests_.at(aRight).spec.route->priority;
+  });
+  return order;
+}
+
+bool
+Dispatcher::HasFreeSlot(TimePoint aNow, const ServiceState& aState)
+{
+  for (const auto& [region, candidates] : aState.regions) {
+    for (const Candidate& candidate : candidates.list) {
+      if (candidate.tracker->FreeSlots(aNow) > 0 &&
+          candidate.tracker->UnusableReasonAt(aNow) == Unusable::None)
+        return true;
+    }
+  }
+  return false;
+}
+
+void
+Dispatcher::StartWaitingRequests(TimePoint aNow, const ServiceId& aService)
+{
+  ServiceState& state = ServiceStateFor(aService);
+  if (state.queue.empty())
+    return;
+  for (const Ticket ticket : OrderWaitingRequests(aNow, state)) {
+    if (!HasFreeSlot(aNow, state))
+      return;
+    if (TryStart(aNow, ticket, requests_.at(ticket)))
+      state.queue.remove(ticket);
+  }
+}
+
+Duration
+Dispatcher::MaxWaitTime(const Request& aRequest, const ServiceState& aState) const
+{
+  const Duration goal = aRequest.spec.route->goal;
+  return std::clamp(
+    goal - aState.typicalLatency, Scale(goal, kMinWaitShare), Scale(goal, kMaxWaitShare));
+}
+
+void
+Dispatcher::RefuseExpiredRequests(TimePoint aNow)
+{
+  for (auto& [service, state] : services_) {
+    std::vector<Ticket> expired;
+    for (const Ticket ticket : state.queue) {
+      const Request& request = requests_.at(ticket);
+      if (aNow - request.spec.arrived >= MaxWaitTime(request, state) ||
+          aNow >= request.spec.deadline)
+        expired.push_back(ticket);
+    }
+    for (const Ticket ticket : expired) {
+      state.queue.remove(ticket);
+      const bool hasUsableInstance =
+        std::any_of(state.regions.begin(), state.regions.end(), [aNow](const auto& aRegion) {
+          return HasUsableInstance(aNow, aRegion.second);
+        });
+      const bool timedOut = aNow >= requests_.at(ticket).spec.deadline;
+      Refuse(aNow,
+             ticket,
+             timedOut ? RefusalReason::TimedOut
+                      : (hasUsableInstance ? RefusalReason::Overload : RefusalReason::NoInstance));
+    }
+  }
+}
+
+} // namespace dfm
--- a/lib/Steering/StoreFollowing.cpp
+++ b/lib/Steering/StoreFollowing.cpp
@@ -182,14 +182,13 @@
       return { followers_.front().peers };
     add(followers_);
     return PreferredPeer(std::move(peers));
-  } else if (IsWaitingForSeeds(aNow)) {
+  }
+  if (IsWaitingForSeeds(aNow))
     return delegates_.empty() ? PreferredPeer(options_.seeds) : std::vector{ delegates_.front() };
-  } else {
-    add(liveVms_);
-    if (liveVms_.size() <= 1) {
-      add(aRegistered);
-      peers.insert(peers.end(), options_.seeds.begin(), options_.seeds.end());
-    }
+  add(liveVms_);
+  if (liveVms_.size() <= 1) {
+    add(aRegistered);
+    peers.insert(peers.end(), options_.seeds.begin(), options_.seeds.end());
   }
   std::erase(peers, options_.self.peers);
   return peers;
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -265,6 +265,7 @@
                        .repeatedBytes = testCase.repeated };
     });
     std::vector<std::thread> callers;
+    callers.reserve(kCallerCount);
     std::atomic<int> failed = 0;
     for (int i = 0; i < kCallerCount; ++i) {
       callers.emplace_back([&, i] {
--- a/unittests/Steering/DispatcherFixture.h
+++ b/unittests/Steering/DispatcherFixture.h
@@ -33,6 +33,7 @@
     unsigned maxAttempts = 2;
     std::vector<RegionId> homes;
     unsigned priority = 0;
+    Duration timeLeft = 1s; ///< Until the caller's deadline.
   };
 
   explicit DispatcherFixture(double aRetrySlack = 100, size_t aVmsInRegion = 1, size_t aSelf = 0)
@@ -100,7 +101,7 @@
                                  .host = "shop.example",
                                  .pathPrefix = "/",
                                  .idempotent = aOptions.idempotent,
-                                 .timeout = 1s,
+                                 .timeout = aOptions.timeLeft,
                                  .goal = 200ms,
                                  .priority = aOptions.priority,
                                  .maxAttempts = aOptions.maxAttempts,
@@ -115,7 +116,7 @@
                         .route = &routes->GetManifest().routes.front(),
                         .affinity = aKey,
                         .arrived = now,
-                        .deadline = now + 1s,
+                        .deadline = now + aOptions.timeLeft,
                         .fingerprint = aFingerprint });
     return ticket;
   }
--- a/unittests/Steering/StoreFollowingTest.cpp
+++ b/unittests/Steering/StoreFollowingTest.cpp
@@ -179,7 +179,7 @@
     const auto peers = aNode.following->PeersToAsk(now_, {});
     if (peers.empty())
       return;
-    const Endpoint peer = peers[asks_++ % peers.size()];
+    const Endpoint& peer = peers[asks_++ % peers.size()];
     for (Node& other : nodes_) {
       if (other.vm.peers != peer)
         continue;
@@ -257,7 +257,7 @@
     cr_assert(region.InformedCount() == testCase.vms);
     cr_assert(region.StoreCallerCount() <= 3);
     cr_assert(region.MostWholeStatesSent() <= 24 + 2 * (testCase.domains - 1));
-    cr_assert(region.WholeStatesBetweenDomains() <= 2 * 3 * testCase.domains);
+    cr_assert(region.WholeStatesBetweenDomains() <= size_t{ 6 } * testCase.domains);
     region.Run(8s);
     cr_assert(region.StoreCallerCount() == 1);
     // The rest of the time is for the watch of the store.
