Apply only the changed entries of load reports; spread relays over a domain

Each relayed sum of a failure domain names some 500 instances, and each entry was subtracted from and added to the sums and passed to the trackers, five hash look-ups an entry. Two relays of each domain forwarded the sums of all others, by calculation 11 Mbit/s on a link of 20 Mbit/s, and the relays are chosen by hash, so that small VMs do this.

Change: a report is compared with the one that it replaces, and only what differs is applied. Each pair of failure domains has relays of its own, so that the forwarding spreads over the domain. Views share the list of instances until one changes, and the dispatcher takes over instances only then; receivers of load reports and cold rates are recomputed only when the VMs or instances changed.

Tests, each failed before: PeerLoads/AppliesOnlyTheEntriesThatChanged ("unchanged"), LoadTopology/SumsLeaveTheLinkOfASmallVmToRequests (77 VMs: 394 sums a second against 142). FleetKeeper/ViewsShareTheInstancesUntilOneChanges covers the lists; it could not compile before.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -249,6 +249,10 @@
     bool hadRequests = false; ///< The service has had at least one request.
   };
   ServiceState& ServiceStateFor(const ServiceId& aService);
+  /// Brings the trackers and candidates in line with the instances of view_.
+  void ReplaceInstances();
+  /// Sets the rates of cold instances, which depend on the known VMs and on the manifest.
+  void UpdateColdRates(TimePoint aNow);
   void Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest);
 
   /// Marks the instances that keep an object warm, out of all usable ones of a region in order of
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -99,8 +99,9 @@
     return snapshots_[static_cast<size_t>(aKind)];
   }
   bool HasManifest() const { return routes_ != nullptr; }
-  /// Builds the view, filling only the members that are derived from the store.
-  FleetView BuildView() const;
+  /// Builds the view, filling only the members that are derived from the store. The list of
+  /// instances is the one of the previous view unless an instance has changed since then.
+  FleetView BuildView();
 
 private:
   struct Entry
@@ -130,6 +131,8 @@
   std::shared_ptr<const RouteIndex> routes_;
   std::map<std::string, Entry> instances_;
   std::set<std::string> lapsed_; ///< Names of the entries that have a removal time.
+  /// The usable instances, for views; null after one has changed.
+  std::shared_ptr<const std::vector<Instance>> instanceList_;
   bool storeReachable_ = true;
   std::optional<TimePoint> storeRegainedAt_;
   std::optional<TimePoint> peerReportedSteadyAt_;
--- a/include/dragonflymoor/Steering/FleetView.h
+++ b/include/dragonflymoor/Steering/FleetView.h
@@ -31,7 +31,9 @@
 struct FleetView
 {
   std::shared_ptr<const RouteIndex> routes; ///< Null while no manifest is known.
-  std::vector<Instance> instances;
+  /// Never null. Views between which no instance changed share the list.
+  std::shared_ptr<const std::vector<Instance>> instances =
+    std::make_shared<std::vector<Instance>>();
   std::set<FailureDomainId> evacuated; ///< Instances in these failure domains get no new requests.
   std::vector<Vm> usableVms;           ///< Live and not leaving, this VM included while it serves.
   std::vector<Vm> knownVms;         ///< Also VMs that do not answer but may merely be unreachable.
--- a/include/dragonflymoor/Steering/LoadTopology.h
+++ b/include/dragonflymoor/Steering/LoadTopology.h
@@ -20,10 +20,11 @@
 ///
 /// In a small fleet each VM reports to all others. In a larger one this would grow with the square
 /// of the number of VMs, most of it between failure domains, where bytes are scarce. There each VM
-/// reports to the VMs of its own failure domain only. A few relays of each domain send the sum of
-/// the domain's reports to the relays of the other domains, and these forward the sum inside their
-/// domain. Answers steady load and bursts that last longer than two periods. Loads that change
-/// faster are seen late by other domains.
+/// reports to the VMs of its own failure domain only. Relays send the sum of the domain's reports
+/// to relays of the other domains, and these forward the sum inside their domain. Each pair of
+/// domains has relays of its own, spread over the VMs of both: a VM that forwarded the sums of all
+/// other domains would use up its link. Answers steady load and bursts that last longer than two
+/// periods. Loads that change faster are seen late by other domains.
 struct LoadTopology
 {
   LoadReceivers sameDomain;   ///< Get the VM's own load.
--- a/include/dragonflymoor/Steering/PeerLoads.h
+++ b/include/dragonflymoor/Steering/PeerLoads.h
@@ -37,18 +37,19 @@
 using LoadSource = std::variant<VmId, FailureDomainId>;
 
 /// Sums the requests that other VMs have in flight at each instance, from their latest reports. A
-/// report is processed in time proportional to its entries, regardless of the number of instances.
-/// Not thread-safe.
+/// report is compared with the one that it replaces, and only the entries that differ are applied
+/// to the sums: the sum of a failure domain has an entry for most instances of a region, and few of
+/// them change between two reports. Not thread-safe.
 class PeerLoads
 {
 public:
   /// Replaces the earlier report of the VM or failure domain that aLoad is about. aVm is the
-  /// sender. Returns the instances whose sum may have changed.
+  /// sender. The entries may be in any order. Returns the instances whose sum has changed.
   std::vector<uint32_t> OnReport(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad);
 
   /// Drops reports that have expired without being replaced: their source has stopped or is
-  /// unreachable, and its requests have ended or will end soon. Returns the instances whose sum may
-  /// have changed.
+  /// unreachable, and its requests have ended or will end soon. Returns the instances whose sum has
+  /// changed.
   std::vector<uint32_t> DropExpired(TimePoint aNow);
 
   /// Number of requests that all other VMs together have in flight at aInstance.
@@ -63,11 +64,15 @@
   struct Report
   {
     TimePoint expiresAt;
+    /// In order of the instances, one entry for each, none without requests.
     std::vector<InstanceLoad> loads;
   };
 
-  /// Subtracts aReport from the sums and appends its instances to aChanged.
-  void SubtractReport(const Report& aReport, std::vector<uint32_t>& aChanged);
+  /// Replaces aOld by aNew in the sums and appends the instances whose sum has changed to aChanged.
+  /// Precondition: both are in the form of Report::loads.
+  void ReplaceLoads(const std::vector<InstanceLoad>& aOld,
+                    const std::vector<InstanceLoad>& aNew,
+                    std::vector<uint32_t>& aChanged);
 
   std::map<LoadSource, Report> reportsBySource_;
   std::unordered_map<uint32_t, unsigned> inFlightByInstance_;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -201,14 +201,19 @@
 void
 Gateway::Impl::OnFleetView(std::shared_ptr<const FleetView> aView)
 {
+  const bool instancesChanged = aView->instances != fleetView->instances;
+  const bool receiversChanged = aView->usableVms != fleetView->usableVms;
   fleetView = std::move(aView);
   const TimePoint now = ReadClocks().monotonic;
   callerFront.SetView(fleetView);
-  loadExchange.SetReceivers(fleetView->usableVms);
-  std::set<BackendId> knownInstances;
-  for (const Instance& instance : fleetView->instances)
-    knownInstances.insert(instance.id);
-  instanceClient.KeepOnlyConnectionsTo(knownInstances);
+  if (receiversChanged)
+    loadExchange.SetReceivers(fleetView->usableVms);
+  if (instancesChanged) {
+    std::set<BackendId> knownInstances;
+    for (const Instance& instance : *fleetView->instances)
+      knownInstances.insert(instance.id);
+    instanceClient.KeepOnlyConnectionsTo(knownInstances);
+  }
   dispatcher.OnFleet(now, fleetView);
 }
 
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -114,6 +114,10 @@
 void
 Dispatcher::OnFleet(TimePoint aNow, std::shared_ptr<const FleetView> aView)
 {
+  const bool instancesChanged =
+    aView->instances != view_->instances || aView->evacuated != view_->evacuated;
+  const bool coldRatesChanged =
+    instancesChanged || aView->routes != view_->routes || aView->knownVms != view_->knownVms;
   view_ = std::move(aView);
   const auto vms = static_cast<double>(std::max<size_t>(view_->knownVms.size(), 1));
   retries_.SetBurst(std::max(1.0, kRetryBudgetShare * options_.retrySlack / vms));
@@ -122,7 +126,18 @@
     if (vm.failureDomain == options_.failureDomain && vm.id != options_.self)
       otherVmsInDomain_.insert(vm.id);
   }
+  // The members of the fleet change far more often than the instances.
+  if (instancesChanged)
+    ReplaceInstances();
+  if (coldRatesChanged)
+    UpdateColdRates(aNow);
+  for (auto& [service, state] : services_)
+    StartWaitingRequests(aNow, service);
+}
 
+void
+Dispatcher::ReplaceInstances()
+{
   std::map<BackendId, std::unique_ptr<InstanceTracker>> previous = std::move(trackers_);
   trackers_.clear();
   trackersByLoadKey_.clear();
@@ -132,7 +147,7 @@
     state.regions.clear();
   for (auto& [ticket, request] : requests_)
     request.rankings.clear();
-  for (const Instance& spec : view_->instances) {
+  for (const Instance& spec : *view_->instances) {
     const auto known = previous.find(spec.id);
     std::unique_ptr<InstanceTracker> state;
     if (known != previous.end()) {
@@ -142,15 +157,19 @@
       state = std::make_unique<InstanceTracker>(spec);
     }
     state->SetEvacuated(view_->evacuated.contains(spec.failureDomain));
-    state->SetColdRate(aNow, state->IsCold(aNow) ? ColdRateFor(spec) : 0);
     state->SetPeerInFlight(peerLoads_.InFlightAt(state->LoadKey()));
     trackersByLoadKey_[state->LoadKey()] = state.get();
     UpdateIndexes(*state);
     AddCandidate(ServiceStateFor(spec.service).regions[spec.region], *state);
     trackers_[spec.id] = std::move(state);
   }
-  for (auto& [service, state] : services_)
-    StartWaitingRequests(aNow, service);
+}
+
+void
+Dispatcher::UpdateColdRates(TimePoint aNow)
+{
+  for (const auto& [id, instance] : trackers_)
+    instance->SetColdRate(aNow, instance->IsCold(aNow) ? ColdRateFor(instance->Spec()) : 0);
 }
 
 void
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -153,6 +153,7 @@
   if (entry.content == *aChange.content)
     return;
   entry.content = *aChange.content;
+  instanceList_.reset();
   auto instance = decoders_.instance(aChange.name, entry.content, aNow);
   if (!instance) {
     hooks_.objectRejected(instance.error());
@@ -182,6 +183,7 @@
     hooks_.instanceChanged(*entry.instance, "gone");
   lapsed_.erase(aName);
   instances_.erase(found);
+  instanceList_.reset();
 }
 
 bool
@@ -229,6 +231,7 @@
     if (entry->second.instance)
       hooks_.instanceChanged(*entry->second.instance, "gone");
     instances_.erase(entry);
+    instanceList_.reset();
     name = lapsed_.erase(name);
     removed = true;
   }
@@ -236,14 +239,20 @@
 }
 
 FleetView
-FleetKeeper::BuildView() const
+FleetKeeper::BuildView()
 {
+  if (instanceList_ == nullptr) {
+    auto list = std::make_shared<std::vector<Instance>>();
+    list->reserve(instances_.size());
+    for (const auto& [name, entry] : instances_) {
+      if (entry.instance)
+        list->push_back(*entry.instance);
+    }
+    instanceList_ = std::move(list);
+  }
   FleetView view;
   view.routes = routes_;
-  for (const auto& [name, entry] : instances_) {
-    if (entry.instance)
-      view.instances.push_back(*entry.instance);
-  }
+  view.instances = instanceList_;
   for (const auto& [name, content] : Snapshot(ObjectKind::Evacuations).objects)
     view.evacuated.insert(FailureDomainId(name));
   view.instancesRevision = Snapshot(ObjectKind::Instances).revision;
--- a/lib/Steering/LoadTopology.cpp
+++ b/lib/Steering/LoadTopology.cpp
@@ -3,6 +3,7 @@
 #include "dragonflymoor/Support/Hash.h"
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace dfm {
 
@@ -11,9 +12,9 @@
 /// Largest fleet in which each VM reports to all others.
 constexpr size_t kMaxDirectVms = 16;
 
-/// Relays of each failure domain. The second one covers the time until the loss of the first one is
-/// noticed.
-constexpr size_t kRelaysPerDomain = 2;
+/// Relays of a failure domain for each other domain. The second one covers the time until the loss
+/// of the first one is noticed.
+constexpr size_t kRelaysPerPeer = 2;
 
 /// Period of reports to VMs of the own region: a third of the duration of the shortest requests, so
 /// that other VMs learn in time of most slots that become free.
@@ -40,19 +41,52 @@
   return aPeriod * std::max(aReceivers, aMaxReceivers) / aMaxReceivers;
 }
 
-/// The relays among the VMs of one failure domain, in order of their weights.
-std::vector<Vm>
-ChooseRelays(const FailureDomainId& aDomain, std::vector<Vm> aVms)
+using VmsByDomain = std::map<FailureDomainId, std::vector<Vm>>;
+
+/// Sorts the VMs of a failure domain by their rendezvous weights, so that the relays of a domain
+/// change little when VMs come and go.
+void
+SortByWeight(const FailureDomainId& aDomain, std::vector<Vm>& aVms)
 {
   const std::string& domain = aDomain.Value();
-  const auto weight = [&domain](const Vm& aVm) { return RendezvousWeight(domain, aVm.id.Value()); };
-  const auto count = static_cast<std::ptrdiff_t>(std::min(aVms.size(), kRelaysPerDomain));
-  std::partial_sort(
-    aVms.begin(), aVms.begin() + count, aVms.end(), [&](const Vm& aLeft, const Vm& aRight) {
-      return weight(aLeft) > weight(aRight);
-    });
-  aVms.resize(static_cast<size_t>(count));
-  return aVms;
+  std::vector<std::pair<uint64_t, size_t>> order;
+  for (size_t i = 0; i < aVms.size(); ++i)
+    order.emplace_back(RendezvousWeight(domain, aVms[i].id.Value()), i);
+  std::sort(order.begin(), order.end());
+  std::vector<Vm> sorted;
+  sorted.reserve(aVms.size());
+  for (const auto& [weight, index] : order)
+    sorted.push_back(std::move(aVms[index]));
+  aVms = std::move(sorted);
+}
+
+/// Number of the other failure domains that precede aOther, as aDomain counts them.
+size_t
+PeerIndex(const VmsByDomain& aVmsByDomain,
+          const FailureDomainId& aDomain,
+          const FailureDomainId& aOther)
+{
+  size_t index = 0;
+  for (const auto& [domain, vms] : aVmsByDomain) {
+    if (domain == aOther)
+      return index;
+    index += domain == aDomain ? 0 : 1;
+  }
+  return index;
+}
+
+/// The VMs of aDomain that exchange sums with aOther.
+std::vector<Vm>
+ChooseRelays(const VmsByDomain& aVmsByDomain,
+             const FailureDomainId& aDomain,
+             const FailureDomainId& aOther)
+{
+  const std::vector<Vm>& vms = aVmsByDomain.at(aDomain);
+  const size_t first = kRelaysPerPeer * PeerIndex(aVmsByDomain, aDomain, aOther);
+  std::vector<Vm> relays;
+  for (size_t i = 0; i < std::min(vms.size(), kRelaysPerPeer); ++i)
+    relays.push_back(vms[(first + i) % vms.size()]);
+  return relays;
 }
 
 LoadTopology
@@ -78,36 +112,38 @@
 MakeRelayedTopology(const Vm& aSelf, const std::vector<Vm>& aVms)
 {
   LoadTopology topology{ .relayed = true };
-  std::map<FailureDomainId, std::vector<Vm>> vmsByDomain;
+  VmsByDomain vmsByDomain;
   for (const Vm& vm : aVms) {
     vmsByDomain[vm.failureDomain].push_back(vm);
     if (vm.failureDomain == aSelf.failureDomain && vm.id != aSelf.id)
       topology.sameDomain.vms.push_back(vm);
   }
-  const std::vector<Vm> ownRelays =
-    ChooseRelays(aSelf.failureDomain, vmsByDomain[aSelf.failureDomain]);
-  const auto self = std::find_if(
-    ownRelays.begin(), ownRelays.end(), [&](const Vm& aVm) { return aVm.id == aSelf.id; });
-  if (self == ownRelays.end())
-    return topology;
-  // Each relay sends to one relay of each other domain. The relays of one domain send to different
-  // ones, so that one loss on either side leaves half of the reports.
-  const auto ownIndex = static_cast<size_t>(self - ownRelays.begin());
+  for (auto& [domain, vms] : vmsByDomain)
+    SortByWeight(domain, vms);
+  size_t domainsInOwnRegion = 0;
+  size_t domainsInOtherRegions = 0;
   for (const auto& [domain, vms] : vmsByDomain) {
     if (domain == aSelf.failureDomain)
       continue;
-    const std::vector<Vm> relays = ChooseRelays(domain, vms);
-    const Vm& receiver = relays[ownIndex % relays.size()];
-    (receiver.region == aSelf.region ? topology.sameRegion : topology.otherRegions)
-      .vms.push_back(receiver);
+    const bool inOwnRegion = vms.front().region == aSelf.region;
+    ++(inOwnRegion ? domainsInOwnRegion : domainsInOtherRegions);
+    const std::vector<Vm> senders = ChooseRelays(vmsByDomain, aSelf.failureDomain, domain);
+    const std::vector<Vm> receivers = ChooseRelays(vmsByDomain, domain, aSelf.failureDomain);
+    // The senders send to different receivers, so that one loss on either side leaves half of the
+    // reports.
+    for (size_t i = 0; i < senders.size(); ++i) {
+      if (senders[i].id == aSelf.id)
+        (inOwnRegion ? topology.sameRegion : topology.otherRegions)
+          .vms.push_back(receivers[i % receivers.size()]);
+    }
   }
   // The receivers forward each report inside their domain, which has about as many VMs as this one.
-  const auto periodFor = [&](Duration aPeriod, const LoadReceivers& aReceivers) {
-    const size_t forwarded = topology.sameDomain.vms.size() * aReceivers.vms.size();
+  const auto periodFor = [&](Duration aPeriod, size_t aDomains) {
+    const size_t forwarded = topology.sameDomain.vms.size() * aDomains;
     return std::max(kMinRelayedPeriod, ScaledPeriod(aPeriod, forwarded, kMaxSameDomainReceivers));
   };
-  topology.sameRegion.period = periodFor(kSameRegionPeriod, topology.sameRegion);
-  topology.otherRegions.period = periodFor(kRelayedOtherRegionsPeriod, topology.otherRegions);
+  topology.sameRegion.period = periodFor(kSameRegionPeriod, domainsInOwnRegion);
+  topology.otherRegions.period = periodFor(kRelayedOtherRegionsPeriod, domainsInOtherRegions);
   return topology;
 }
 
--- a/lib/Steering/PeerLoads.cpp
+++ b/lib/Steering/PeerLoads.cpp
@@ -1,16 +1,53 @@
 #include "dragonflymoor/Steering/PeerLoads.h"
 
+#include <algorithm>
+
 namespace dfm {
 
+namespace {
+
+/// Returns aLoads in order of the instances, with one entry for each that has requests.
+std::vector<InstanceLoad>
+Normalize(std::vector<InstanceLoad> aLoads)
+{
+  std::sort(aLoads.begin(), aLoads.end());
+  std::vector<InstanceLoad> loads;
+  loads.reserve(aLoads.size());
+  for (const InstanceLoad& load : aLoads) {
+    if (load.inFlight == 0)
+      continue;
+    if (!loads.empty() && loads.back().instance == load.instance)
+      loads.back().inFlight += load.inFlight;
+    else
+      loads.push_back(load);
+  }
+  return loads;
+}
+
+} // namespace
+
 void
-PeerLoads::SubtractReport(const Report& aReport, std::vector<uint32_t>& aChanged)
+PeerLoads::ReplaceLoads(const std::vector<InstanceLoad>& aOld,
+                        const std::vector<InstanceLoad>& aNew,
+                        std::vector<uint32_t>& aChanged)
 {
-  for (const InstanceLoad& load : aReport.loads) {
-    const auto sum = inFlightByInstance_.find(load.instance);
-    sum->second -= load.inFlight;
-    if (sum->second == 0)
-      inFlightByInstance_.erase(sum);
-    aChanged.push_back(load.instance);
+  auto before = aOld.begin();
+  auto after = aNew.begin();
+  while (before != aOld.end() || after != aNew.end()) {
+    const bool isNew =
+      before == aOld.end() || (after != aNew.end() && after->instance < before->instance);
+    const bool isGone =
+      after == aNew.end() || (before != aOld.end() && before->instance < after->instance);
+    const uint32_t instance = isNew ? after->instance : before->instance;
+    const unsigned removed = isNew ? 0 : (before++)->inFlight;
+    const unsigned added = isGone ? 0 : (after++)->inFlight;
+    if (removed == added)
+      continue;
+    unsigned& sum = inFlightByInstance_[instance];
+    sum = sum + added - removed;
+    if (sum == 0)
+      inFlightByInstance_.erase(instance);
+    aChanged.push_back(instance);
   }
 }
 
@@ -20,15 +57,9 @@
   std::vector<uint32_t> changed;
   const LoadSource source = aLoad.domain ? LoadSource(*aLoad.domain) : LoadSource(aVm);
   Report& report = reportsBySource_[source];
-  SubtractReport(report, changed);
-  report = { .expiresAt = aNow + aLoad.life };
-  for (const InstanceLoad& load : aLoad.loads) {
-    if (load.inFlight == 0)
-      continue;
-    report.loads.push_back(load);
-    inFlightByInstance_[load.instance] += load.inFlight;
-    changed.push_back(load.instance);
-  }
+  std::vector<InstanceLoad> loads = Normalize(aLoad.loads);
+  ReplaceLoads(report.loads, loads, changed);
+  report = { .expiresAt = aNow + aLoad.life, .loads = std::move(loads) };
   return changed;
 }
 
@@ -41,7 +72,7 @@
       ++report;
       continue;
     }
-    SubtractReport(report->second, changed);
+    ReplaceLoads(report->second.loads, {}, changed);
     report = reportsBySource_.erase(report);
   }
   return changed;
--- a/unittests/Steering/DispatcherFixture.h
+++ b/unittests/Steering/DispatcherFixture.h
@@ -71,6 +71,7 @@
                                                 .healthPath = "/healthz",
                                                 .coldRequestsPerSecond = 20 };
     view->routes = std::make_shared<RouteIndex>(manifest);
+    std::vector<Instance> instances;
     for (const InstanceText& text : aInstances) {
       Instance instance{ .id = BackendId(text.id),
                          .startTimeMs = text.born,
@@ -82,8 +83,9 @@
                          .draining = text.draining };
       if (text.coldFor.count() > 0)
         instance.coldUntil = now + text.coldFor;
-      view->instances.push_back(instance);
+      instances.push_back(instance);
     }
+    view->instances = std::make_shared<const std::vector<Instance>>(std::move(instances));
     for (const std::string& domain : aEvacuated)
       view->evacuated.insert(FailureDomainId(domain));
     for (size_t i = 0; i < vms_; ++i)
--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -37,10 +37,10 @@
   {
     keeper.OnSnapshot(now, aKind, { .revision = aRevision, .objects = std::move(aObjects) });
   }
-  bool HasUsableInstance(const std::string& aInstance) const
+  bool HasUsableInstance(const std::string& aInstance)
   {
     const FleetView view = keeper.BuildView();
-    return std::any_of(view.instances.begin(), view.instances.end(), [&](const Instance& aIt) {
+    return std::any_of(view.instances->begin(), view.instances->end(), [&](const Instance& aIt) {
       return aIt.id.Value() == aInstance && !aIt.draining;
     });
   }
@@ -139,4 +139,33 @@
   cr_assert(not fixture.HasUsableInstance("i-1"));
 }
 
+/// Guards against views that copy all instances, and make the dispatcher take all of them over,
+/// with each change of the fleet's members: with hundreds of VMs some member changes all the time.
+Test(FleetKeeper, ViewsShareTheInstancesUntilOneChanges)
+{
+  struct Case
+  {
+    const char* name;
+    std::map<std::string, std::string> instances;
+    bool shared;
+  };
+  const Case cases[] = {
+    { "unchanged", { { "i-1", "ready" }, { "i-2", "ready" } }, true },
+    { "changed", { { "i-1", "ready" }, { "i-2", "draining" } }, false },
+    { "added", { { "i-1", "ready" }, { "i-2", "ready" }, { "i-3", "ready" } }, false },
+    { "removed", { { "i-1", "ready" } }, false },
+    { "replaced by an unusable object", { { "i-1", "ready" }, { "i-2", "invalid" } }, false },
+  };
+  for (const Case& testCase : cases) {
+    Fixture fixture;
+    fixture.Set(ObjectKind::Instances, 1, { { "i-1", "ready" }, { "i-2", "ready" } });
+    const auto before = fixture.keeper.BuildView().instances;
+    fixture.Set(ObjectKind::Evacuations, 2, { { "north-a", "" } });
+    fixture.Set(ObjectKind::Instances, 3, testCase.instances);
+    const auto after = fixture.keeper.BuildView().instances;
+    const bool shared = before == after;
+    cr_assert(shared == testCase.shared, "%s", testCase.name);
+  }
+}
+
 } // namespace
--- a/unittests/Steering/LoadTopologyTest.cpp
+++ b/unittests/Steering/LoadTopologyTest.cpp
@@ -77,6 +77,25 @@
     return sum / static_cast<double>(vms_.size());
   }
 
+  /// Sums of failure domains that one VM sends and forwards in a second, the largest of all VMs.
+  double MaxSumsSent() const
+  {
+    std::map<VmId, double> sums;
+    for (const auto& [id, topology] : topologies_) {
+      for (const LoadReceivers* group : { &topology.sameRegion, &topology.otherRegions }) {
+        const double rate = topology.relayed ? 1 / ToSeconds(group->period) : 0;
+        sums[id] += rate * static_cast<double>(group->vms.size());
+        for (const Vm& receiver : group->vms)
+          sums[receiver.id] +=
+            rate * static_cast<double>(topologies_.at(receiver.id).sameDomain.vms.size());
+      }
+    }
+    double most = 0;
+    for (const auto& [id, rate] : sums)
+      most = std::max(most, rate);
+    return most;
+  }
+
   /// Load reports that one VM sends and forwards in a second, the largest of all VMs.
   double MaxReportsSent() const
   {
@@ -168,4 +187,16 @@
   }
 }
 
+/// Guards against relays that use up the link of a small VM. The sum of a failure domain names up
+/// to 550 instances at 8 bytes each, and a quarter of 20 Mbit/s is left to it beside the requests.
+Test(LoadTopology, SumsLeaveTheLinkOfASmallVmToRequests)
+{
+  constexpr double kBytesOfSum = 550 * 8;
+  constexpr double kMaxSumsSent = 0.25 * 20e6 / 8 / kBytesOfSum;
+  for (const FleetSize& size : { FleetSize{ 77, 6 }, FleetSize{ 295, 9 }, FleetSize{ 900, 24 } }) {
+    const double sums = Topologies(MakeFleet(size.vms, size.domains)).MaxSumsSent();
+    cr_assert(sums <= kMaxSumsSent, "%zu VMs: %f", size.vms, sums);
+  }
+}
+
 } // namespace
--- a/unittests/Steering/PeerLoadsTest.cpp
+++ b/unittests/Steering/PeerLoadsTest.cpp
@@ -54,6 +54,36 @@
   cr_assert(loads.InFlightAt(7) == 0);
 }
 
+/// Guards against reports that cost time for each instance that they name: relayed sums name most
+/// instances of a region, and applying them took half of the processor time of small VMs.
+Test(PeerLoads, AppliesOnlyTheEntriesThatChanged)
+{
+  struct Case
+  {
+    const char* name;
+    std::vector<InstanceLoad> first;
+    std::vector<InstanceLoad> second;
+    std::vector<uint32_t> changed;
+  };
+  const Case cases[] = {
+    { "unchanged", { { 1, 2 }, { 2, 3 } }, { { 1, 2 }, { 2, 3 } }, {} },
+    { "other order", { { 1, 2 }, { 2, 3 } }, { { 2, 3 }, { 1, 2 } }, {} },
+    { "one changed", { { 1, 2 }, { 2, 3 } }, { { 1, 2 }, { 2, 4 } }, { 2 } },
+    { "one gone", { { 1, 2 }, { 2, 3 } }, { { 2, 3 } }, { 1 } },
+    { "one without requests", { { 1, 2 }, { 2, 3 } }, { { 1, 0 }, { 2, 3 } }, { 1 } },
+    { "one new", { { 2, 3 } }, { { 2, 3 }, { 4, 1 } }, { 4 } },
+    { "named twice", { { 2, 3 } }, { { 2, 1 }, { 2, 2 } }, {} },
+  };
+  for (const Case& testCase : cases) {
+    PeerLoads loads;
+    const TimePoint start{ 100s };
+    loads.OnReport(start, VmId("vm-1"), { .loads = testCase.first, .life = 1s });
+    const auto changed =
+      loads.OnReport(start, VmId("vm-1"), { .loads = testCase.second, .life = 1s });
+    cr_assert(changed == testCase.changed, "%s", testCase.name);
+  }
+}
+
 /// Guards against running sums that differ from the sum of the reports in force.
 Test(PeerLoads, EqualsTheSumOfTheReports)
 {
