Reserve the ports of the Platform tests; give endless answers time to hit their bounds

The log shows "timed-out after_ms=2129": under the address sanitizer, beside other test programs, the route's 2 s passed before the answers reached the VM's memory bound, so the verdict depended on the machine. The check and its bounds stay; the routes and callers of this test now give 300 s, so that only the memory bounds can end the requests.

Each port is now held by a bound socket that does not listen, which lets the VM bind it and keeps the system from giving it to others.

The sanitizer build has not run yet.

--- a/unittests/Platform/GatewayFixture.cpp
+++ b/unittests/Platform/GatewayFixture.cpp
@@ -8,25 +8,6 @@
 
 namespace dfm::test {
 
-namespace {
-
-/// Returns a loopback port that was free a moment ago, for a server or a peer to listen on.
-uint16_t
-FindFreePort()
-{
-  asio::io_context context;
-  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint().port();
-}
-
-Endpoint
-FindFreeEndpoint()
-{
-  return { .address = "127.0.0.1", .port = FindFreePort() };
-}
-
-} // namespace
-
 json::value
 ManifestSpec(unsigned aVersion, const std::vector<RouteSpec>& aRoutes)
 {
@@ -86,12 +67,12 @@
   settings_.self = { .id = VmId("vm-1"),
                      .region = RegionId("north"),
                      .failureDomain = FailureDomainId("north-a"),
-                     .callers = FindFreeEndpoint(),
-                     .peers = FindFreeEndpoint() };
-  settings_.loadReports = FindFreeEndpoint();
-  settings_.readiness = FindFreeEndpoint();
-  settings_.directory = FindFreeEndpoint();
-  settings_.operators = FindFreeEndpoint();
+                     .callers = ports_[0].Address(),
+                     .peers = ports_[1].Address() };
+  settings_.loadReports = ports_[2].Address();
+  settings_.readiness = ports_[3].Address();
+  settings_.directory = ports_[4].Address();
+  settings_.operators = ports_[5].Address();
   settings_.store = store_.Address();
   settings_.failureDomains = { { FailureDomainId("north-a"), RegionId("north") } };
   settings_.stopTime = 6s;
@@ -164,7 +145,7 @@
   request.set(http::field::host, "shop.example");
   request.set("X-Request-Id", aRequestId);
   request.set("X-Affinity-Key", "17");
-  request.set("X-Deadline-Ms", "5000");
+  request.set("X-Deadline-Ms", std::to_string(callerDeadline_.count()));
   request.body() = aBody;
   request.prepare_payload();
   return SendAndReceive(settings_.self.callers, request);
--- a/unittests/Platform/GatewayFixture.h
+++ b/unittests/Platform/GatewayFixture.h
@@ -3,6 +3,7 @@
 
 #include "StandIns.h"
 #include "dragonflymoor/Gateway/Gateway.h"
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,7 +63,14 @@
   /// that a slow machine does not fail the test.
   static bool WaitUntil(const std::function<bool()>& aCondition);
 
+protected:
+  /// Time that callers give the VM to answer.
+  std::chrono::milliseconds callerDeadline_ = 5s;
+
 private:
+  static constexpr size_t kPortCount = 6;
+
+  std::array<PortReservation, kPortCount> ports_;
   StandInStore store_;
   SteeringSettings settings_;
   std::unique_ptr<Gateway> gateway_;
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -72,15 +72,20 @@
   StandInInstance firstInstance{ "i-first" };
   StandInInstance secondInstance{ "i-second" };
 
-  ServingFixture()
+  /// Callers and routes give a request aTimeout to be answered, callers never less than 5 s.
+  explicit ServingFixture(std::chrono::seconds aTimeout = 2s)
   {
-    Store().Put(
-      "config",
-      "main",
-      ManifestSpec(
-        7,
-        { { .service = "any" },
-          { .name = "order", .prefix = "/order/", .service = "any", .idempotent = false } }));
+    callerDeadline_ = std::max<std::chrono::milliseconds>(callerDeadline_, aTimeout);
+    const auto timeoutSeconds = static_cast<double>(aTimeout.count());
+    Store().Put("config",
+                "main",
+                ManifestSpec(7,
+                             { { .service = "any", .timeoutSeconds = timeoutSeconds },
+                               { .name = "order",
+                                 .prefix = "/order/",
+                                 .service = "any",
+                                 .idempotent = false,
+                                 .timeoutSeconds = timeoutSeconds } }));
     Store().Put("servers", firstInstance.Id(), InstanceSpec(firstInstance, "any"));
     Store().Put("servers", secondInstance.Id(), InstanceSpec(secondInstance, "any"));
     Start();
@@ -257,8 +262,10 @@
     { "chunks", chunkedHead, "400\r\n" + std::string(1024, 'x') + "\r\n", kMaxBodyBytes },
   };
   constexpr int kCallerCount = 6;
+  // The bounds of memory, not the deadline, have to end the requests, however slow the machine is.
+  constexpr auto kTimeout = 300s;
   for (const Case& testCase : cases) {
-    ServingFixture fixture;
+    ServingFixture fixture(kTimeout);
     fixture.SetBehaviour([&testCase](const StandInInstance&, const Request&) {
       return Reaction{ .sendsAnswer = false,
                        .bytesBeforeAnswer = testCase.start,
--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -67,6 +67,20 @@
 
 } // namespace
 
+PortReservation::PortReservation()
+  : holder_(context_)
+{
+  holder_.open(tcp::v4());
+  holder_.set_option(tcp::acceptor::reuse_address(true));
+  holder_.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+}
+
+Endpoint
+PortReservation::Address() const
+{
+  return FromTcp(holder_.local_endpoint());
+}
+
 struct StandInServer::Session
 {
   explicit Session(tcp::socket aSocket)
@@ -83,7 +97,6 @@
   , workGuard_(asio::make_work_guard(context_))
   , acceptor_(context_)
 {
-  address_ = { .address = "127.0.0.1", .port = 0 };
   Open();
   thread_ = std::thread([this] { context_.run(); });
 }
@@ -97,12 +110,11 @@
 void
 StandInServer::Open()
 {
-  const tcp::endpoint endpoint = ToTcp(address_);
+  const tcp::endpoint endpoint = ToTcp(Address());
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(endpoint);
   acceptor_.listen();
-  address_ = FromTcp(acceptor_.local_endpoint());
   asio::co_spawn(context_, AcceptConnections(), asio::detached);
 }
 
--- a/unittests/Platform/StandIns.h
+++ b/unittests/Platform/StandIns.h
@@ -41,6 +41,20 @@
     0; ///< If not 0, closes the connection after this many bytes of the answer.
 };
 
+/// Reserves a free port of the loopback address for a server that binds it by its number, perhaps
+/// more than once. While the reservation lives, the system gives the port to no other socket.
+class PortReservation
+{
+public:
+  PortReservation();
+
+  Endpoint Address() const;
+
+private:
+  asio::io_context context_{ 1 };
+  tcp::acceptor holder_; ///< Bound but not listening, so that another socket can bind the port.
+};
+
 /// An HTTP server on the loopback address with a thread of its own.
 class StandInServer
 {
@@ -53,7 +67,7 @@
   explicit StandInServer(Handler aHandler);
   ~StandInServer();
 
-  Endpoint Address() const { return address_; }
+  Endpoint Address() const { return port_.Address(); }
   /// Stops listening and resets all connections; Open listens on the same port again.
   void Close();
   void Open();
@@ -74,8 +88,8 @@
   Handler handler_;
   asio::io_context context_{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> workGuard_;
+  PortReservation port_;
   tcp::acceptor acceptor_;
-  Endpoint address_;
   std::vector<std::weak_ptr<Session>> sessions_;
   std::atomic<unsigned> closedByPeerCount_ = 0;
   std::atomic<size_t> repeatedByteCount_ = 0;
