Exchange member lists between VMs

New members spread only with the updates in probes, four in a datagram, and the list in the store is incomplete while all VMs register. Membership has an exchange of whole lists for this, but FleetSync dropped its messages; as no list ever came, each acknowledged probe also built one.

Change: lists of members are sent over the port for other VMs, compressed, as a new kind of peer message.

Test: Gateway/ExchangesMemberLists (the VM answers a list with its own; before, the message did not exist). PeerMessages/RoundTripAndRejectMalformedBytes covers it.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -55,6 +55,13 @@
   asio::awaitable<void> RegisterAndListVms();
   asio::awaitable<void> ListVms();
   asio::awaitable<void> PollPeers();
+  /// Connects to another VM; empty when it does not accept the connection in time.
+  asio::awaitable<std::optional<tcp::socket>> ConnectToPeer(Endpoint aPeer);
+  /// Sends one message to another VM, which does not answer on the same connection.
+  asio::awaitable<void> SendToPeer(Endpoint aPeer, std::string aPayload);
+  /// Handles a message that another VM sent on aConnection. An error closes the connection.
+  tl::expected<void, CodecError> OnPeerPayload(std::string_view aPayload,
+                                               const std::shared_ptr<FrameConnection>& aConnection);
   /// Asks a peer for the fleet state. Returns whether the peer named others to ask in its place.
   asio::awaitable<bool> RequestState(Endpoint aPeer);
   asio::awaitable<void> AcceptPeers();
--- a/include/dragonflymoor/Steering/PeerMessages.h
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -62,7 +62,16 @@
   bool operator==(const StateReply&) const = default;
 };
 
-using PeerMessage = std::variant<PeerLoad, PeerCrashReport, StateRequest, StateReply>;
+/// Sent over TCP. Carries the list of the members that the sender knows.
+struct PeerMemberSync
+{
+  MemberSync sync;
+
+  auto operator<=>(const PeerMemberSync&) const = default;
+};
+
+using PeerMessage =
+  std::variant<PeerLoad, PeerCrashReport, StateRequest, StateReply, PeerMemberSync>;
 
 /// A message together with the VM that sent it.
 struct PeerEnvelope
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -40,6 +40,11 @@
 /// together, as each publication costs the traffic thread a pass over all instances.
 constexpr Duration kTickPeriod = 50ms;
 
+/// Period at which a fleet of up to 32 VMs exchanges lists of the members with a random one; it
+/// grows with their number. When hundreds of VMs start together, the updates in probes alone take
+/// half a minute to reach all of them.
+constexpr Duration kMemberSyncPeriod = 4s;
+
 /// Shortest time between two views that differ only in the members. Hundreds of VMs that start
 /// become known one after the other, and each view costs the traffic thread new receivers of load
 /// reports.
@@ -115,15 +120,22 @@
                                 .incarnation = { random_.Next() },
                                 .seeds = options_.seeds,
                                 .randomSeed = random_.Next(),
-                                .probePeriod = kProbePeriod };
+                                .probePeriod = kProbePeriod,
+                                .syncPeriod = kMemberSyncPeriod };
   membership.startedAtMs = static_cast<uint64_t>(ReadClocks().wall.time_since_epoch().count());
   membership_ = std::make_unique<Membership>(
     std::move(membership),
     MembershipHooks{
       .sendDatagram = [this](const Endpoint& aTo,
                              const DatagramMessage& aMessage) { datagrams_.Send(aTo, aMessage); },
-      // Complete member lists come from the store; updates are carried by the probes.
-      .sendStream = [](const Vm&, const StreamMessage&) {},
+      .sendStream =
+        [this](const Vm& aVm, const StreamMessage& aMessage) {
+          if (const auto* sync = std::get_if<MemberSync>(&aMessage))
+            asio::co_spawn(
+              context_,
+              SendToPeer(aVm.peers, EncodePeer(options_.self.id, PeerMemberSync{ *sync })),
+              asio::detached);
+        },
       .memberChanged =
         [](const MemberUpdate& aUpdate) {
           Log(LogLevel::Info,
@@ -293,8 +305,8 @@
   }
 }
 
-asio::awaitable<bool>
-FleetSync::RequestState(Endpoint aPeer)
+asio::awaitable<std::optional<tcp::socket>>
+FleetSync::ConnectToPeer(Endpoint aPeer)
 {
   tcp::socket socket(context_);
   asio::steady_timer timer(context_, kPeerRequestTimeout);
@@ -307,7 +319,38 @@
   timer.cancel();
   // The handler of the timer refers to the socket until it has run.
   co_await asio::post(context_, asio::use_awaitable);
-  if (error) {
+  if (error)
+    co_return std::nullopt;
+  co_return std::move(socket);
+}
+
+asio::awaitable<void>
+FleetSync::SendToPeer(Endpoint aPeer, std::string aPayload)
+{
+  auto socket = co_await ConnectToPeer(aPeer);
+  if (!socket) {
+    metrics_.Count("peer-messages-unsent", Reason::PeerUnreachable);
+    co_return;
+  }
+  const auto connection = std::make_shared<FrameConnection>(
+    std::move(*socket),
+    FrameConnection::Hooks{
+      .payload = [](const std::string&) { return tl::expected<void, CodecError>(); },
+      .closed = [](const std::string&) {},
+    });
+  connection->Start();
+  const std::weak_ptr<FrameConnection> weak = connection;
+  connection->Send({ .payload = std::move(aPayload), .done = [weak] {
+                      if (const auto sent = weak.lock())
+                        sent->Close();
+                    } });
+}
+
+asio::awaitable<bool>
+FleetSync::RequestState(Endpoint aPeer)
+{
+  auto socket = co_await ConnectToPeer(aPeer);
+  if (!socket) {
     metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
     storeFollowing_.OnPeerRequestFailed(aPeer);
     co_return false;
@@ -321,7 +364,7 @@
   const auto outcome = std::make_shared<Outcome>(Outcome::NoAnswer);
   const auto done = std::make_shared<asio::steady_timer>(context_, kPeerRequestTimeout);
   auto connection = std::make_shared<FrameConnection>(
-    std::move(socket),
+    std::move(*socket),
     FrameConnection::Hooks{
       .payload =
         [this, done, outcome](const std::string& aPayload) -> tl::expected<void, CodecError> {
@@ -371,24 +414,36 @@
       std::move(socket),
       FrameConnection::Hooks{
         .payload =
-          [this, connectionHolder](const std::string& aPayload) -> tl::expected<void, CodecError> {
-          const auto envelope = DecodePeer(aPayload);
-          if (!envelope)
-            return tl::unexpected(envelope.error());
-          const auto* request = std::get_if<StateRequest>(&envelope->message);
-          if (request == nullptr)
-            return tl::unexpected(CodecError{ "message: not a request" });
-          const auto connection = *connectionHolder;
-          if (connection != nullptr)
-            connection->Send({ .payload = EncodePeer(options_.self.id, MakeStateReply(*request)) });
-          return {};
-        },
+          [this, connectionHolder](const std::string& aPayload) {
+            const auto connection = *connectionHolder;
+            return OnPeerPayload(aPayload, connection);
+          },
         .closed = [connectionHolder](const std::string&) { connectionHolder->reset(); },
       });
     (*connectionHolder)->Start();
   }
 }
 
+tl::expected<void, CodecError>
+FleetSync::OnPeerPayload(std::string_view aPayload,
+                         const std::shared_ptr<FrameConnection>& aConnection)
+{
+  const auto envelope = DecodePeer(aPayload);
+  if (!envelope)
+    return tl::unexpected(envelope.error());
+  if (const auto* request = std::get_if<StateRequest>(&envelope->message)) {
+    if (aConnection != nullptr)
+      aConnection->Send({ .payload = EncodePeer(options_.self.id, MakeStateReply(*request)) });
+    return {};
+  }
+  if (const auto* list = std::get_if<PeerMemberSync>(&envelope->message)) {
+    if (membershipStarted_)
+      membership_->OnSync(ReadClocks(), envelope->sender, list->sync);
+    return {};
+  }
+  return tl::unexpected(CodecError{ "message: not for this connection" });
+}
+
 const std::string&
 FleetSync::PackedSnapshot(ObjectKind aKind)
 {
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -126,6 +126,15 @@
              .Union() };
 }
 
+Body
+Encode(FlatBufferBuilder& aBuilder, const PeerMemberSync& aMessage)
+{
+  const std::string packed = Deflate(EncodeStream(VmId(), aMessage.sync));
+  const auto bytes =
+    aBuilder.CreateVector(reinterpret_cast<const uint8_t*>(packed.data()), packed.size());
+  return { wire::SteeringBody::MemberList, wire::CreateMemberList(aBuilder, bytes).Union() };
+}
+
 Decoded<PeerMessage>
 Decode(const wire::LoadReport& aReport)
 {
@@ -217,6 +226,22 @@
   return reply;
 }
 
+Decoded<PeerMessage>
+Decode(const wire::MemberList& aList)
+{
+  const auto* packed = reinterpret_cast<const char*>(aList.packed()->data());
+  const auto bytes = Inflate({ packed, aList.packed()->size() }, kMaxUnpackedBytes);
+  if (!bytes)
+    return tl::unexpected(CodecError{ "member list: malformed compression" });
+  auto envelope = DecodeStream(*bytes);
+  if (!envelope)
+    return tl::unexpected(envelope.error());
+  auto* sync = std::get_if<MemberSync>(&envelope->message);
+  if (sync == nullptr)
+    return tl::unexpected(CodecError{ "member list: not a list of members" });
+  return PeerMemberSync{ .sync = std::move(*sync) };
+}
+
 Decoded<PeerMessage>
 DecodeBody(const wire::SteeringMessage& aMessage)
 {
@@ -230,6 +255,8 @@
       return Decode(*aMessage.body_as_StateRequest());
     case wire::SteeringBody::StateReply:
       return Decode(*aMessage.body_as_StateReply());
+    case wire::SteeringBody::MemberList:
+      return Decode(*aMessage.body_as_MemberList());
     default:
       return tl::unexpected(CodecError{ "peer message: unknown body type" });
   }
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -40,6 +40,9 @@
 struct StateReply;
 struct StateReplyBuilder;
 
+struct MemberList;
+struct MemberListBuilder;
+
 struct SteeringMessage;
 struct SteeringMessageBuilder;
 
@@ -49,35 +52,38 @@
   CrashNotice = 2,
   StateRequest = 3,
   StateReply = 4,
+  MemberList = 5,
   MIN = NONE,
-  MAX = StateReply
+  MAX = MemberList
 };
 
-inline const SteeringBody (&EnumValuesSteeringBody())[5] {
+inline const SteeringBody (&EnumValuesSteeringBody())[6] {
   static const SteeringBody values[] = {
     SteeringBody::NONE,
     SteeringBody::LoadReport,
     SteeringBody::CrashNotice,
     SteeringBody::StateRequest,
-    SteeringBody::StateReply
+    SteeringBody::StateReply,
+    SteeringBody::MemberList
   };
   return values;
 }
 
 inline const char * const *EnumNamesSteeringBody() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "NONE",
     "LoadReport",
     "CrashNotice",
     "StateRequest",
     "StateReply",
+    "MemberList",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameSteeringBody(SteeringBody e) {
-  if (flatbuffers::IsOutRange(e, SteeringBody::NONE, SteeringBody::StateReply)) return "";
+  if (flatbuffers::IsOutRange(e, SteeringBody::NONE, SteeringBody::MemberList)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesSteeringBody()[index];
 }
@@ -102,6 +108,10 @@
   static const SteeringBody enum_value = SteeringBody::StateReply;
 };
 
+template<> struct SteeringBodyTraits<dfm::wire::MemberList> {
+  static const SteeringBody enum_value = SteeringBody::MemberList;
+};
+
 bool VerifySteeringBody(flatbuffers::Verifier &verifier, const void *obj, SteeringBody type);
 bool VerifySteeringBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<SteeringBody> *types);
 
@@ -728,6 +738,58 @@
       delegates__);
 }
 
+struct MemberList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MemberListBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PACKED = 4
+  };
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
+           verifier.EndTable();
+  }
+};
+
+struct MemberListBuilder {
+  typedef MemberList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(MemberList::VT_PACKED, packed);
+  }
+  explicit MemberListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MemberList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MemberList>(end);
+    fbb_.Required(o, MemberList::VT_PACKED);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MemberList> CreateMemberList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0) {
+  MemberListBuilder builder_(_fbb);
+  builder_.add_packed(packed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<MemberList> CreateMemberListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *packed = nullptr) {
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
+  return dfm::wire::CreateMemberList(
+      _fbb,
+      packed__);
+}
+
 struct SteeringMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SteeringMessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -757,6 +819,9 @@
   const dfm::wire::StateReply *body_as_StateReply() const {
     return body_type() == dfm::wire::SteeringBody::StateReply ? static_cast<const dfm::wire::StateReply *>(body()) : nullptr;
   }
+  const dfm::wire::MemberList *body_as_MemberList() const {
+    return body_type() == dfm::wire::SteeringBody::MemberList ? static_cast<const dfm::wire::MemberList *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -784,6 +849,10 @@
   return body_as_StateReply();
 }
 
+template<> inline const dfm::wire::MemberList *SteeringMessage::body_as<dfm::wire::MemberList>() const {
+  return body_as_MemberList();
+}
+
 struct SteeringMessageBuilder {
   typedef SteeringMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -856,6 +925,10 @@
       auto ptr = reinterpret_cast<const dfm::wire::StateReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case SteeringBody::MemberList: {
+      auto ptr = reinterpret_cast<const dfm::wire::MemberList *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -1,4 +1,6 @@
 #include "GatewayFixture.h"
+#include "dragonflymoor/Steering/PeerMessages.h"
+#include "dragonflymoor/Wire/Framing.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -7,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <set>
 #include <sstream>
 
 namespace {
@@ -297,6 +300,54 @@
   }
 }
 
+/// Guards against VMs that stay unknown to each other for half a minute when hundreds start
+/// together: updates in probes alone spread that slowly.
+Test(Gateway, ExchangesMemberLists)
+{
+  ServingFixture fixture;
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Vm peer{ .id = VmId("vm-2"),
+                 .region = RegionId("north"),
+                 .failureDomain = FailureDomainId("north-a"),
+                 .callers = { .address = "127.0.0.1", .port = 1 },
+                 .peers = FromTcp(acceptor.local_endpoint()) };
+  const PeerMemberSync sync{ { .wantsReply = true,
+                               .members = { { .vm = peer, .incarnation = { 5 } } } } };
+  const std::string payload = EncodePeer(peer.id, sync);
+  tcp::socket sender(context);
+  sender.connect(ToTcp(fixture.Settings().self.peers));
+  const auto header = FrameHeader(payload.size());
+  asio::write(sender, asio::buffer(header));
+  asio::write(sender, asio::buffer(payload));
+
+  acceptor.non_blocking(true);
+  tcp::socket receiver(context);
+  const bool connected = GatewayFixture::WaitUntil([&] {
+    error_code error;
+    acceptor.accept(receiver, error);
+    return !error;
+  });
+  cr_assert(connected);
+  receiver.non_blocking(false);
+  std::string bytes;
+  error_code error;
+  asio::read(receiver, asio::dynamic_buffer(bytes), error);
+  FrameReader reader;
+  reader.Append(bytes);
+  const auto frame = reader.Next();
+  cr_assert(frame.has_value() && frame->has_value());
+  const auto reply = DecodePeer(**frame);
+  cr_assert(reply.has_value());
+  const auto* list = std::get_if<PeerMemberSync>(&reply->message);
+  cr_assert(list != nullptr);
+  std::set<VmId> members;
+  for (const MemberUpdate& member : list->sync.members)
+    members.insert(member.vm.id);
+  const std::set<VmId> expected{ fixture.Settings().self.id, peer.id };
+  cr_assert(members == expected);
+}
+
 /// Guards against a request that continues at the instance after its caller has disconnected.
 Test(Gateway, CancelsTheRequestOfADisconnectedCaller)
 {
--- a/unittests/Steering/ManifestTest.cpp
+++ b/unittests/Steering/ManifestTest.cpp
@@ -133,6 +133,12 @@
                   .peers = { .address = "10.0.0.7", .port = 7540 },
                   .revisions = { 1, 2, 3 } },
     reply,
+    PeerMemberSync{
+      { .wantsReply = true,
+        .members = { { .vm = { .id = VmId("vm-2"),
+                               .region = RegionId("north"),
+                               .failureDomain = FailureDomainId("north-a"),
+                               .peers = { .address = "10.0.0.8", .port = 7540 } } } } } },
   };
   for (const PeerMessage& message : messages) {
     const std::string bytes = EncodePeer(VmId("vm-1"), message);
