--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -99,7 +99,7 @@
   std::unique_ptr<Membership> membership_;
   bool membershipStarted_ = false; ///< Membership starts only when this VM can serve.
   uint64_t publishedEpoch_ = 0;
-  TimePoint publishedAt_;
+  TimePoint publishedAt_;    ///< When the last view was published.
   bool viewChanged_ = false; ///< Whether the view changed since it was last published.
   std::vector<Vm> registeredVms_;
   bool stopping_ = false;
--- a/lib/Steering/LoadTopology.cpp
+++ b/lib/Steering/LoadTopology.cpp
@@ -60,7 +60,7 @@
   aVms = std::move(sorted);
 }
 
-/// Number of the other failure domains that precede aOther, as aDomain counts them.
+/// Position of aOther among the failure domains other than aDomain.
 size_t
 PeerIndex(const VmsByDomain& aVmsByDomain,
           const FailureDomainId& aDomain,
