--- a/include/dragonflymoor/Model/Fleet.h
+++ b/include/dragonflymoor/Model/Fleet.h
@@ -22,6 +22,11 @@
   auto operator<=>(const Endpoint&) const = default;
 };
 
+/// Whether aText is an IPv4 or IPv6 address. Addresses that come from outside this process must be
+/// checked before they are used. Safe to call from any thread.
+bool
+IsIpAddress(const std::string& aText);
+
 /// An entry VM.
 struct Vm
 {
--- a/lib/Model/Fleet.cpp
+++ b/lib/Model/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymoor/Model/Fleet.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <string_view>
 
 namespace dfm {
@@ -22,6 +23,16 @@
 
 } // namespace
 
+bool
+IsIpAddress(const std::string& aText)
+{
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  // inet_pton stops at a zero byte, which would accept trailing bytes.
+  return aText.find('\0') == std::string::npos &&
+         (inet_pton(AF_INET, aText.c_str(), bytes.data()) == 1 ||
+          inet_pton(AF_INET6, aText.c_str(), bytes.data()) == 1);
+}
+
 std::string_view
 ObjectName(ListName aList)
 {
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -60,10 +60,13 @@
   return wire::CreatePeerEndpointDirect(aBuilder, aEndpoint.address.c_str(), aEndpoint.port);
 }
 
-Endpoint
+Decoded<Endpoint>
 DecodeEndpoint(const wire::PeerEndpoint& aEndpoint)
 {
-  return { .address = aEndpoint.address()->str(), .port = aEndpoint.port() };
+  Endpoint endpoint{ .address = aEndpoint.address()->str(), .port = aEndpoint.port() };
+  if (!IsIpAddress(endpoint.address))
+    return tl::unexpected(CodecError{ "peer endpoint: address is not an IP address" });
+  return endpoint;
 }
 
 std::vector<Offset<wire::ObjectEntry>>
@@ -164,8 +167,13 @@
     request.revisions[i] = aRequest.revisions()->Get(static_cast<flatbuffers::uoffset_t>(i));
   if (aRequest.domain() != nullptr)
     request.domain = FailureDomainId(aRequest.domain()->str());
-  if (aRequest.peers() != nullptr)
-    request.peers = DecodeEndpoint(*aRequest.peers());
+  // Without a domain the sender has left its endpoint out.
+  if (aRequest.peers() == nullptr || request.domain.Empty())
+    return request;
+  auto peers = DecodeEndpoint(*aRequest.peers());
+  if (!peers)
+    return tl::unexpected(peers.error());
+  request.peers = std::move(*peers);
   return request;
 }
 
@@ -198,8 +206,12 @@
                     .storeReachable = aReply.store_reachable(),
                     .answerAge = std::chrono::milliseconds(aReply.answer_age_ms()) };
   if (aReply.delegates() != nullptr) {
-    for (const wire::PeerEndpoint* delegate : *aReply.delegates())
-      reply.delegates.push_back(DecodeEndpoint(*delegate));
+    for (const wire::PeerEndpoint* delegate : *aReply.delegates()) {
+      auto endpoint = DecodeEndpoint(*delegate);
+      if (!endpoint)
+        return tl::unexpected(endpoint.error());
+      reply.delegates.push_back(std::move(*endpoint));
+    }
   }
   if (aReply.sets() == nullptr)
     return reply;
--- a/lib/Wire/Codec.cpp
+++ b/lib/Wire/Codec.cpp
@@ -335,7 +335,10 @@
 
   Endpoint Read(const wire::Endpoint& aIn)
   {
-    return { .address = aIn.address()->str(), .port = aIn.port() };
+    Endpoint endpoint{ .address = aIn.address()->str(), .port = aIn.port() };
+    if (!IsIpAddress(endpoint.address))
+      Fail("address is not an IP address");
+    return endpoint;
   }
 
   Vm Read(const wire::Vm& aIn)
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -2,6 +2,7 @@
 #include "dragonflymoor/Steering/PeerMessages.h"
 #include "dragonflymoor/Wire/Framing.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -300,6 +301,27 @@
   }
 }
 
+/// Guards against a message with an unusable address that ends the process: updates of members pass
+/// from VM to VM, so one of them would have ended all.
+Test(Gateway, SurvivesMalformedAddressesOfMembers)
+{
+  ServingFixture fixture;
+  const Vm bad{ .id = VmId("vm-bad"),
+                .region = RegionId("north"),
+                .failureDomain = FailureDomainId("north-a"),
+                .callers = { .address = "127.0.0.1", .port = 1 },
+                .peers = { .address = "north-a", .port = 1 } };
+  const std::string probe = EncodeDatagram(Probe{ .updates = { { .vm = bad } } });
+  asio::io_context context;
+  asio::ip::udp::socket sender(context, asio::ip::udp::v4());
+  const Endpoint peers = fixture.Settings().self.peers;
+  sender.send_to(asio::buffer(probe), { asio::ip::make_address(peers.address), peers.port });
+  // The VM publishes a view with the new member, and connects to it, within this time.
+  std::this_thread::sleep_for(1s);
+  const auto answer = fixture.Send(http::verb::get, "/read/1", "id");
+  cr_assert(answer && answer->result() == http::status::ok);
+}
+
 /// Guards against VMs that stay unknown to each other for half a minute when hundreds start
 /// together: updates in probes alone spread that slowly.
 Test(Gateway, ExchangesMemberLists)
--- a/unittests/Platform/ObjectsTest.cpp
+++ b/unittests/Platform/ObjectsTest.cpp
@@ -106,6 +106,8 @@
   static const Change kChanges[] = {
     [](json::object& aSpec) { aSpec.erase("addr"); },
     [](json::object& aSpec) { aSpec["addr"] = "nowhere"; },
+    [](json::object& aSpec) { aSpec["addr"] = "999.1.2.3:80"; },
+    [](json::object& aSpec) { aSpec["addr"] = "10.1:80"; },
     [](json::object& aSpec) { aSpec["addr"] = 5; },
     [](json::object& aSpec) { aSpec.erase("info"); },
     [](json::object& aSpec) { aSpec["info"].as_object()["zone"] = "unknown"; },
--- a/unittests/Steering/ManifestTest.cpp
+++ b/unittests/Steering/ManifestTest.cpp
@@ -138,6 +138,7 @@
         .members = { { .vm = { .id = VmId("vm-2"),
                                .region = RegionId("north"),
                                .failureDomain = FailureDomainId("north-a"),
+                               .callers = { .address = "10.0.0.8", .port = 80 },
                                .peers = { .address = "10.0.0.8", .port = 7540 } } } } } },
   };
   for (const PeerMessage& message : messages) {
@@ -167,4 +168,20 @@
   cr_assert(not DecodePeer("nonsense").has_value());
 }
 
+/// Guards against a message that names VMs by texts that are no addresses: opening a connection to
+/// one of them ended the process.
+Test(PeerMessages, RejectsAddressesThatAreNotIpAddresses)
+{
+  for (const char* address : { "", "999.1", "north-a" }) {
+    const Endpoint bad{ .address = address, .port = 1 };
+    const PeerMessage messages[] = {
+      StateReply{ .delegates = { bad } },
+      StateRequest{ .domain = FailureDomainId("north-a"), .peers = bad },
+      PeerMemberSync{ { .members = { { .vm = { .id = VmId("vm-2"), .peers = bad } } } } },
+    };
+    for (const PeerMessage& message : messages)
+      cr_assert(not DecodePeer(EncodePeer(VmId("vm-1"), message)).has_value());
+  }
+}
+
 } // namespace
--- a/unittests/Wire/CodecTest.cpp
+++ b/unittests/Wire/CodecTest.cpp
@@ -58,7 +58,11 @@
 Endpoint
 AnyEndpoint()
 {
-  return { .address = AnyText(), .port = *rc::gen::arbitrary<uint16_t>() };
+  const auto byte = [] { return std::to_string(*rc::gen::arbitrary<uint8_t>()); };
+  const std::string address = *rc::gen::arbitrary<bool>()
+                                ? byte() + "." + byte() + "." + byte() + "." + byte()
+                                : "fd00::" + byte();
+  return { .address = address, .port = *rc::gen::arbitrary<uint16_t>() };
 }
 
 Vm
@@ -237,6 +241,31 @@
     RC_ASSERT(aDecoded.error().message.find(": ") != std::string::npos);
 }
 
+/// Guards against a member update without a usable address: opening a connection to it ended the
+/// process, and the update spread to every VM.
+Test(Codec, RejectsAddressesThatAreNotIpAddresses)
+{
+  const std::string malformed[] = {
+    "", "999.1", "10.0.0.1:80", "north-a", std::string("10.0.0.1\0x", 10)
+  };
+  for (const std::string& address : malformed) {
+    for (const bool ofPeers : { false, true }) {
+      const Endpoint good{ .address = "10.0.0.1", .port = 1 };
+      const Endpoint bad{ .address = address, .port = 1 };
+      const Vm vm{ .id = VmId("vm-1"),
+                   .region = RegionId("north"),
+                   .failureDomain = FailureDomainId("north-a"),
+                   .callers = ofPeers ? good : bad,
+                   .peers = ofPeers ? bad : good };
+      const auto probe = DecodeDatagram(EncodeDatagram(Probe{ .updates = { { .vm = vm } } }));
+      cr_assert(not probe.has_value());
+      const auto sync =
+        DecodeStream(EncodeStream(vm.id, MemberSync{ .members = { { .vm = vm } } }));
+      cr_assert(not sync.has_value());
+    }
+  }
+}
+
 } // namespace
 
 // Guards against a field that the codec forgets or mixes up with another.
