Share instances between views and apply only those that changed

While instances are released or replaced, some instance changes in every period of 50 ms; each view then copied all 1,617 instances, and each VM took all of them over and built a set of their ids for the idle connections.

Change: a view lists shared entries in order of their ids. FindInstanceChanges compares two lists by the identity of the entries; dispatcher, cold rates and idle connections follow from the difference. Cold instances have an index of their own.

--- a/include/dragonflymoor/Gateway/InstanceClient.h
+++ b/include/dragonflymoor/Gateway/InstanceClient.h
@@ -84,8 +84,8 @@
   /// Closes exchanges that passed their deadline, and connections that are idle for too long. To be
   /// called every 10 ms.
   void OnTick(TimePoint aNow);
-  /// Closes the idle connections to all instances other than aInstances.
-  void KeepOnlyConnectionsTo(const std::set<BackendId>& aInstances);
+  /// Closes the idle connections to an instance that was removed.
+  void CloseIdleConnections(const BackendId& aInstance);
 
 private:
   struct Connection
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -249,8 +249,16 @@
     bool hadRequests = false; ///< The service has had at least one request.
   };
   ServiceState& ServiceStateFor(const ServiceId& aService);
-  /// Brings the trackers and candidates in line with the instances of view_.
-  void ReplaceInstances();
+  /// Brings the trackers and candidates in line with the instances of view_. Takes time for the
+  /// changes only: with hundreds of VMs, any instance of the fleet changes several times a second.
+  void ApplyInstanceChanges(TimePoint aNow, const InstanceChanges& aChanges);
+  void ReplaceInstance(TimePoint aNow, const Instance& aInstance);
+  /// Precondition: the instance is known, and no ranking refers to it.
+  void RemoveInstance(const BackendId& aInstance);
+  /// Brings the trackers in line with the evacuations of view_.
+  void UpdateEvacuated();
+  /// Clears the cached rankings of the waiting requests.
+  void ForgetRankings();
   /// Sets the rates of cold instances, which depend on the known VMs and on the manifest.
   void UpdateColdRates(TimePoint aNow);
   void Enqueue(ServiceState& aState, Ticket aTicket, const Request& aRequest);
@@ -280,7 +288,8 @@
   /// Adapts the shares of other regions and the homes of the objects to the use of the regions.
   void BalanceRegions(TimePoint aNow);
   static void UpdateSpreads(ServiceState& aState, const std::vector<RegionUse>& aUses);
-  static void AddCandidate(RegionCandidates& aCandidates, InstanceTracker& aInstance);
+  void AddCandidate(InstanceTracker& aInstance);
+  void RemoveCandidate(const InstanceTracker& aInstance);
   static bool HasFreeSlot(TimePoint aNow, const ServiceState& aState);
   /// Passes the sums of the other VMs' requests at aInstances to their trackers.
   void ApplyPeerLoads(const std::vector<uint32_t>& aInstances);
@@ -299,8 +308,9 @@
   std::set<Ticket> FindHopelessRequests(TimePoint aNow, const ServiceState& aState) const;
   Duration MaxWaitTime(const Request& aRequest, const ServiceState& aState) const;
   InstanceTracker* FindInstance(const BackendId& aInstance);
-  /// Updates the indexes after the requests in flight or the health of aInstance changed.
-  void UpdateIndexes(InstanceTracker& aInstance);
+  /// Updates the indexes after the registration, the requests in flight or the health of aInstance
+  /// changed.
+  void UpdateIndexes(TimePoint aNow, InstanceTracker& aInstance);
   double ColdRateFor(const Instance& aInstance) const;
 
   DispatcherOptions options_;
@@ -309,10 +319,11 @@
   std::shared_ptr<const FleetView> view_;
   std::map<BackendId, std::unique_ptr<InstanceTracker>> trackers_;
   std::unordered_map<uint32_t, InstanceTracker*> trackersByLoadKey_;
-  // Most instances have no request of this VM and are healthy, so the periodic checks pass over the
-  // others only. Both indexes are by the hash of the id.
+  // Most instances have no request of this VM, are healthy and warm, so the periodic checks pass
+  // over the others only. The indexes are by the hash of the id.
   std::map<uint64_t, InstanceTracker*> instancesInUse_; ///< Have requests of this VM in flight.
   std::map<uint64_t, InstanceTracker*> instancesDown_;  ///< Get health checks.
+  std::map<uint64_t, InstanceTracker*> instancesCold_;  ///< Were cold at their last change.
   PeerLoads peerLoads_;
   std::set<VmId> otherVmsInDomain_;
   std::map<ServiceId, ServiceState> services_;
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -107,8 +107,8 @@
   struct Entry
   {
     std::string content;
-    std::optional<Instance> instance;  ///< Empty when the content cannot be used.
-    std::optional<TimePoint> removeAt; ///< Set while the entry is missing in the store.
+    std::shared_ptr<const Instance> instance; ///< Null when the content cannot be used.
+    std::optional<TimePoint> removeAt;        ///< Set while the entry is missing in the store.
   };
 
   /// Names of objects that changed, with the revision at which that was learnt.
@@ -132,7 +132,7 @@
   std::map<std::string, Entry> instances_;
   std::set<std::string> lapsed_; ///< Names of the entries that have a removal time.
   /// The usable instances, for views; null after one has changed.
-  std::shared_ptr<const std::vector<Instance>> instanceList_;
+  std::shared_ptr<const InstanceList> instanceList_;
   bool storeReachable_ = true;
   std::optional<TimePoint> storeRegainedAt_;
   std::optional<TimePoint> peerReportedSteadyAt_;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -201,19 +201,15 @@
 void
 Gateway::Impl::OnFleetView(std::shared_ptr<const FleetView> aView)
 {
-  const bool instancesChanged = aView->instances != fleetView->instances;
+  const InstanceChanges changes = FindInstanceChanges(*fleetView->instances, *aView->instances);
   const bool receiversChanged = aView->usableVms != fleetView->usableVms;
   fleetView = std::move(aView);
   const TimePoint now = ReadClocks().monotonic;
   callerFront.SetView(fleetView);
   if (receiversChanged)
     loadExchange.SetReceivers(fleetView->usableVms);
-  if (instancesChanged) {
-    std::set<BackendId> knownInstances;
-    for (const Instance& instance : *fleetView->instances)
-      knownInstances.insert(instance.id);
-    instanceClient.KeepOnlyConnectionsTo(knownInstances);
-  }
+  for (const BackendId& instance : changes.removed)
+    instanceClient.CloseIdleConnections(instance);
   dispatcher.OnFleet(now, fleetView);
 }
 
--- a/lib/Gateway/InstanceClient.cpp
+++ b/lib/Gateway/InstanceClient.cpp
@@ -402,13 +402,13 @@
       return aNow - aConnection->idleSince >= aConnection->maxIdleTime;
     });
   }
+  std::erase_if(idleConnections_, [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 void
-InstanceClient::KeepOnlyConnectionsTo(const std::set<BackendId>& aInstances)
+InstanceClient::CloseIdleConnections(const BackendId& aInstance)
 {
-  std::erase_if(idleConnections_,
-                [&](const auto& aEntry) { return !aInstances.contains(aEntry.first); });
+  idleConnections_.erase(aInstance);
 }
 
 } // namespace dfm
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <utility>
 
 namespace dfm {
 
@@ -114,11 +115,7 @@
 void
 Dispatcher::OnFleet(TimePoint aNow, std::shared_ptr<const FleetView> aView)
 {
-  const bool instancesChanged =
-    aView->instances != view_->instances || aView->evacuated != view_->evacuated;
-  const bool coldRatesChanged =
-    instancesChanged || aView->routes != view_->routes || aView->knownVms != view_->knownVms;
-  view_ = std::move(aView);
+  const std::shared_ptr<const FleetView> before = std::exchange(view_, std::move(aView));
   const auto vms = static_cast<double>(std::max<size_t>(view_->knownVms.size(), 1));
   retries_.SetBurst(std::max(1.0, kRetryBudgetShare * options_.retrySlack / vms));
   otherVmsInDomain_.clear();
@@ -126,77 +123,133 @@
     if (vm.failureDomain == options_.failureDomain && vm.id != options_.self)
       otherVmsInDomain_.insert(vm.id);
   }
-  // The members of the fleet change far more often than the instances.
-  if (instancesChanged)
-    ReplaceInstances();
-  if (coldRatesChanged)
+  ApplyInstanceChanges(aNow, FindInstanceChanges(*before->instances, *view_->instances));
+  if (view_->evacuated != before->evacuated)
+    UpdateEvacuated();
+  if (view_->routes != before->routes || view_->knownVms != before->knownVms)
     UpdateColdRates(aNow);
   for (auto& [service, state] : services_)
     StartWaitingRequests(aNow, service);
 }
 
 void
-Dispatcher::ReplaceInstances()
+Dispatcher::ApplyInstanceChanges(TimePoint aNow, const InstanceChanges& aChanges)
 {
-  std::map<BackendId, std::unique_ptr<InstanceTracker>> previous = std::move(trackers_);
-  trackers_.clear();
-  trackersByLoadKey_.clear();
-  instancesInUse_.clear();
-  instancesDown_.clear();
-  for (auto& [service, state] : services_)
-    state.regions.clear();
-  for (auto& [ticket, request] : requests_)
-    request.rankings.clear();
-  for (const Instance& spec : *view_->instances) {
-    const auto known = previous.find(spec.id);
-    std::unique_ptr<InstanceTracker> state;
-    if (known != previous.end()) {
-      state = std::move(known->second);
-      state->SetSpec(spec);
-    } else {
-      state = std::make_unique<InstanceTracker>(spec);
-    }
-    state->SetEvacuated(view_->evacuated.contains(spec.failureDomain));
-    state->SetPeerInFlight(peerLoads_.InFlightAt(state->LoadKey()));
-    trackersByLoadKey_[state->LoadKey()] = state.get();
-    UpdateIndexes(*state);
-    AddCandidate(ServiceStateFor(spec.service).regions[spec.region], *state);
-    trackers_[spec.id] = std::move(state);
+  if (aChanges == InstanceChanges{})
+    return;
+  ForgetRankings();
+  for (const BackendId& instance : aChanges.removed)
+    RemoveInstance(instance);
+  for (const std::shared_ptr<const Instance>& instance : aChanges.replaced)
+    ReplaceInstance(aNow, *instance);
+}
+
+void
+Dispatcher::ReplaceInstance(TimePoint aNow, const Instance& aInstance)
+{
+  std::unique_ptr<InstanceTracker>& tracker = trackers_[aInstance.id];
+  if (tracker == nullptr) {
+    tracker = std::make_unique<InstanceTracker>(aInstance);
+    tracker->SetPeerInFlight(peerLoads_.InFlightAt(tracker->LoadKey()));
+    trackersByLoadKey_[tracker->LoadKey()] = tracker.get();
+    AddCandidate(*tracker);
+  } else {
+    const Instance& known = tracker->Spec();
+    const bool moved = known.service != aInstance.service || known.region != aInstance.region ||
+                       known.failureDomain != aInstance.failureDomain;
+    if (moved)
+      RemoveCandidate(*tracker);
+    tracker->SetSpec(aInstance);
+    if (moved)
+      AddCandidate(*tracker);
   }
+  tracker->SetEvacuated(view_->evacuated.contains(aInstance.failureDomain));
+  if (tracker->IsCold(aNow))
+    tracker->SetColdRate(aNow, ColdRateFor(aInstance));
+  UpdateIndexes(aNow, *tracker);
 }
 
 void
-Dispatcher::UpdateColdRates(TimePoint aNow)
+Dispatcher::RemoveInstance(const BackendId& aInstance)
+{
+  const auto found = trackers_.find(aInstance);
+  assert(found != trackers_.end() && "only a known instance is removed");
+  InstanceTracker& tracker = *found->second;
+  RemoveCandidate(tracker);
+  const auto byLoadKey = trackersByLoadKey_.find(tracker.LoadKey());
+  if (byLoadKey != trackersByLoadKey_.end() && byLoadKey->second == &tracker)
+    trackersByLoadKey_.erase(byLoadKey);
+  for (auto* const index : { &instancesInUse_, &instancesDown_, &instancesCold_ })
+    index->erase(tracker.IdHash());
+  trackers_.erase(found);
+}
+
+void
+Dispatcher::UpdateEvacuated()
 {
+  ForgetRankings();
   for (const auto& [id, instance] : trackers_)
-    instance->SetColdRate(aNow, instance->IsCold(aNow) ? ColdRateFor(instance->Spec()) : 0);
+    instance->SetEvacuated(view_->evacuated.contains(instance->Spec().failureDomain));
 }
 
 void
-Dispatcher::AddCandidate(RegionCandidates& aCandidates, InstanceTracker& aInstance)
+Dispatcher::ForgetRankings()
+{
+  // Requests in flight have none.
+  for (const auto& [service, state] : services_) {
+    for (const Ticket ticket : state.queue)
+      requests_.at(ticket).rankings.clear();
+  }
+}
+
+void
+Dispatcher::UpdateColdRates(TimePoint aNow)
+{
+  std::erase_if(instancesCold_,
+                [aNow](const auto& aEntry) { return !aEntry.second->IsCold(aNow); });
+  for (const auto& [hash, instance] : instancesCold_)
+    instance->SetColdRate(aNow, ColdRateFor(instance->Spec()));
+}
+
+void
+Dispatcher::AddCandidate(InstanceTracker& aInstance)
 {
   const Instance& spec = aInstance.Spec();
-  auto& domains = aCandidates.domains;
+  RegionCandidates& candidates = ServiceStateFor(spec.service).regions[spec.region];
+  auto& domains = candidates.domains;
   const auto domain = std::find(domains.begin(), domains.end(), spec.failureDomain);
   const auto index = static_cast<unsigned>(domain - domains.begin());
   if (domain == domains.end())
     domains.push_back(spec.failureDomain);
-  aCandidates.list.push_back(
-    { .tracker = &aInstance, .hash = aInstance.IdHash(), .domain = index });
+  candidates.list.push_back({ .tracker = &aInstance, .hash = aInstance.IdHash(), .domain = index });
 }
 
 void
-Dispatcher::UpdateIndexes(InstanceTracker& aInstance)
+Dispatcher::RemoveCandidate(const InstanceTracker& aInstance)
 {
-  const uint64_t key = aInstance.IdHash();
-  if (aInstance.OwnInFlight() > 0)
-    instancesInUse_.insert_or_assign(key, &aInstance);
-  else
-    instancesInUse_.erase(key);
-  if (aInstance.NextProbeTime())
-    instancesDown_.insert_or_assign(key, &aInstance);
-  else
-    instancesDown_.erase(key);
+  const Instance& spec = aInstance.Spec();
+  auto& regions = ServiceStateFor(spec.service).regions;
+  const auto region = regions.find(spec.region);
+  assert(region != regions.end() && "each tracker is a candidate");
+  std::erase_if(region->second.list, [&aInstance](const Candidate& aCandidate) {
+    return aCandidate.tracker == &aInstance;
+  });
+  if (region->second.list.empty())
+    regions.erase(region);
+}
+
+void
+Dispatcher::UpdateIndexes(TimePoint aNow, InstanceTracker& aInstance)
+{
+  const auto update = [&aInstance](std::map<uint64_t, InstanceTracker*>& aIndex, bool aContains) {
+    if (aContains)
+      aIndex.insert_or_assign(aInstance.IdHash(), &aInstance);
+    else
+      aIndex.erase(aInstance.IdHash());
+  };
+  update(instancesInUse_, aInstance.OwnInFlight() > 0);
+  update(instancesDown_, aInstance.NextProbeTime().has_value());
+  update(instancesCold_, aInstance.IsCold(aNow));
 }
 
 void
@@ -247,7 +300,7 @@
   };
   state.returns.OnStart(aNow);
   instance->OnSend(aNow);
-  UpdateIndexes(*instance);
+  UpdateIndexes(aNow, *instance);
   shifts_.OnStart(aNow, spec.region);
   ++aRequest.attempts;
   aRequest.tried.push_back(spec.id);
@@ -267,7 +320,7 @@
   if (found->second.currentInstance) {
     if (InstanceTracker* const instance = FindInstance(*found->second.currentInstance)) {
       instance->OnEnd();
-      UpdateIndexes(*instance);
+      UpdateIndexes(aNow, *instance);
     }
   } else {
     ServiceStateFor(service).queue.remove(aTicket);
@@ -356,7 +409,7 @@
   // The instance may have been removed in the meantime.
   if (InstanceTracker* const instance = FindInstance(*request.currentInstance)) {
     RecordAttemptEnd(aNow, request, *instance, aReport);
-    UpdateIndexes(*instance);
+    UpdateIndexes(aNow, *instance);
   }
   request.currentInstance.reset();
   if (aReport.kind == Kind::NotSent)
@@ -405,7 +458,7 @@
   instance->OnProbe(aNow, aResult, aColdLeft);
   if (instance->IsCold(aNow))
     instance->SetColdRate(aNow, ColdRateFor(instance->Spec()));
-  UpdateIndexes(*instance);
+  UpdateIndexes(aNow, *instance);
   if (aResult == ProbeResult::Unreachable) {
     ReportCrashes(aNow, *instance);
     AbandonAttempts(aInstance);
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -160,7 +160,7 @@
     entry.instance.reset();
     return;
   }
-  entry.instance = std::move(*instance);
+  entry.instance = std::make_shared<const Instance>(std::move(*instance));
   hooks_.instanceChanged(*entry.instance, entry.instance->draining ? "draining" : "registered");
 }
 
@@ -242,11 +242,11 @@
 FleetKeeper::BuildView()
 {
   if (instanceList_ == nullptr) {
-    auto list = std::make_shared<std::vector<Instance>>();
+    auto list = std::make_shared<InstanceList>();
     list->reserve(instances_.size());
     for (const auto& [name, entry] : instances_) {
       if (entry.instance)
-        list->push_back(*entry.instance);
+        list->push_back(entry.instance);
     }
     instanceList_ = std::move(list);
   }
--- a/unittests/Steering/DispatcherFixture.h
+++ b/unittests/Steering/DispatcherFixture.h
@@ -71,7 +71,8 @@
                                                 .healthPath = "/healthz",
                                                 .coldRequestsPerSecond = 20 };
     view->routes = std::make_shared<RouteIndex>(manifest);
-    std::vector<Instance> instances;
+    // Ordered by id, as in each view.
+    std::map<BackendId, std::shared_ptr<const Instance>> instances;
     for (const InstanceText& text : aInstances) {
       Instance instance{ .id = BackendId(text.id),
                          .startTimeMs = text.born,
@@ -83,9 +84,12 @@
                          .draining = text.draining };
       if (text.coldFor.count() > 0)
         instance.coldUntil = now + text.coldFor;
-      instances.push_back(instance);
+      instances[instance.id] = std::make_shared<const Instance>(instance);
     }
-    view->instances = std::make_shared<const std::vector<Instance>>(std::move(instances));
+    auto list = std::make_shared<InstanceList>();
+    for (const auto& [id, instance] : instances)
+      list->push_back(instance);
+    view->instances = std::move(list);
     for (const std::string& domain : aEvacuated)
       view->evacuated.insert(FailureDomainId(domain));
     for (size_t i = 0; i < vms_; ++i)
--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -40,8 +40,8 @@
   bool HasUsableInstance(const std::string& aInstance)
   {
     const FleetView view = keeper.BuildView();
-    return std::any_of(view.instances->begin(), view.instances->end(), [&](const Instance& aIt) {
-      return aIt.id.Value() == aInstance && !aIt.draining;
+    return std::any_of(view.instances->begin(), view.instances->end(), [&](const auto& aIt) {
+      return aIt->id.Value() == aInstance && !aIt->draining;
     });
   }
   void Advance(Duration aDuration)
@@ -165,6 +165,7 @@
     const auto after = fixture.keeper.BuildView().instances;
     const bool shared = before == after;
     cr_assert(shared == testCase.shared, "%s", testCase.name);
+    cr_assert(before->front() == after->front(), "%s: the entry of i-1 is shared", testCase.name);
   }
 }
 
