Keep the connection for state requests; tick less often without waiting requests

Cause: each VM opened a connection to another VM for each request for the fleet state, five a second, and ticked every 10 ms even when no request waited. With hundreds of VMs that each serve some ten requests a second, this upkeep takes more wake-ups than the requests.

Change: StateClient keeps the connection to the VM that answered last; a reply that comes late closes it, so that it is never taken for another one's. Without waiting requests the traffic thread wakes at the next load report, at the latest after 50 ms.

Tests: the Platform tests that cover state requests and planned stops; there is no new one, as no behaviour changes.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYMOOR_GATEWAY_FLEETSYNC_H
 
 #include "dragonflymoor/Gateway/Protocol.h"
+#include "dragonflymoor/Gateway/StateClient.h"
 #include "dragonflymoor/Membership/Membership.h"
 #include "dragonflymoor/Metrics/Metrics.h"
 #include "dragonflymoor/Net/DatagramSocket.h"
@@ -55,8 +56,6 @@
   asio::awaitable<void> RegisterAndListVms();
   asio::awaitable<void> ListVms();
   asio::awaitable<void> PollPeers();
-  /// Connects to another VM; empty when it does not accept the connection in time.
-  asio::awaitable<std::optional<tcp::socket>> ConnectToPeer(Endpoint aPeer);
   /// Sends one message to another VM, which does not answer on the same connection.
   asio::awaitable<void> SendToPeer(Endpoint aPeer, std::string aPayload);
   /// Handles a message that another VM sent on aConnection. An error closes the connection.
@@ -95,6 +94,7 @@
   std::array<PackedState, kObjectKindCount> packedStates_;
   Random random_;
   DatagramSocket datagrams_;
+  StateClient stateClient_;
   tcp::acceptor acceptor_;
   std::unique_ptr<Membership> membership_;
   bool membershipStarted_ = false; ///< Membership starts only when this VM can serve.
--- a/include/dragonflymoor/Gateway/InstanceClient.h
+++ b/include/dragonflymoor/Gateway/InstanceClient.h
@@ -82,7 +82,7 @@
   asio::awaitable<HealthResult> CheckHealth(Instance aInstance, std::string aHealthPath);
 
   /// Closes exchanges that passed their deadline, and connections that are idle for too long. To be
-  /// called every 10 ms.
+  /// called every 50 ms or more often.
   void OnTick(TimePoint aNow);
   /// Closes the idle connections to an instance that was removed.
   void CloseIdleConnections(const BackendId& aInstance);
--- a/include/dragonflymoor/Gateway/LoadExchange.h
+++ b/include/dragonflymoor/Gateway/LoadExchange.h
@@ -32,8 +32,10 @@
   error_code Open(const Endpoint& aListen);
   /// Replaces the VMs to which messages are sent. aVms may contain this VM; it is skipped.
   void SetReceivers(const std::vector<Vm>& aVms);
-  /// Sends load reports to the groups that are due. To be called every 10 ms.
+  /// Sends load reports to the groups that are due.
   void OnTick(TimePoint aNow);
+  /// When the next load report is due; the largest time point without receivers.
+  TimePoint NextSendTime() const;
   /// Sends aMessage once to each receiver. A datagram that cannot be sent is logged, not repeated.
   void SendToAll(const PeerMessage& aMessage);
 
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -165,7 +165,7 @@
   void OnProbe(TimePoint aNow, const BackendId& aInstance, ProbeResult aResult, Duration aColdLeft);
   void OnPeerLoad(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad);
   void OnCrashReport(TimePoint aNow, const CrashReport& aReport);
-  /// To be called every 10 ms.
+  /// To be called every 10 ms while a request waits, otherwise every 50 ms.
   void OnTick(TimePoint aNow);
 
   /// Requests of this VM at each instance; instances without any are left out.
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -28,7 +28,7 @@
 /// Period at which this VM asks another VM for the state while it does not follow the store, or the
 /// store does not answer.
 constexpr Duration kPeerPollPeriod = 200ms;
-constexpr Duration kPeerRequestTimeout = 500ms;
+constexpr Duration kPeerConnectTimeout = 500ms;
 
 /// Wait before this VM asks a VM that another one named.
 constexpr Duration kRedirectWait = 10ms;
@@ -114,6 +114,7 @@
           membership_->OnDatagram(ReadClocks(), aFrom, aMessage);
       },
       [this](std::string_view aName, Reason aReason) { metrics_.Count(aName, aReason); })
+  , stateClient_(aContext)
   , acceptor_(aContext)
 {
   MembershipOptions membership{ .self = options_.self,
@@ -305,29 +306,10 @@
   }
 }
 
-asio::awaitable<std::optional<tcp::socket>>
-FleetSync::ConnectToPeer(Endpoint aPeer)
-{
-  tcp::socket socket(context_);
-  asio::steady_timer timer(context_, kPeerRequestTimeout);
-  timer.async_wait([&socket](error_code aError) {
-    error_code ignored; // The socket is dropped in any case.
-    if (!aError)
-      socket.close(ignored);
-  });
-  auto [error] = co_await socket.async_connect(ToTcp(aPeer), kAwaitTuple);
-  timer.cancel();
-  // The handler of the timer refers to the socket until it has run.
-  co_await asio::post(context_, asio::use_awaitable);
-  if (error)
-    co_return std::nullopt;
-  co_return std::move(socket);
-}
-
 asio::awaitable<void>
 FleetSync::SendToPeer(Endpoint aPeer, std::string aPayload)
 {
-  auto socket = co_await ConnectToPeer(aPeer);
+  auto socket = co_await ConnectToPeer(context_, aPeer, kPeerConnectTimeout);
   if (!socket) {
     metrics_.Count("peer-messages-unsent", Reason::PeerUnreachable);
     co_return;
@@ -349,38 +331,6 @@
 asio::awaitable<bool>
 FleetSync::RequestState(Endpoint aPeer)
 {
-  auto socket = co_await ConnectToPeer(aPeer);
-  if (!socket) {
-    metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
-    storeFollowing_.OnPeerRequestFailed(aPeer);
-    co_return false;
-  }
-  enum class Outcome
-  {
-    NoAnswer,
-    Answered,
-    Redirected,
-  };
-  const auto outcome = std::make_shared<Outcome>(Outcome::NoAnswer);
-  const auto done = std::make_shared<asio::steady_timer>(context_, kPeerRequestTimeout);
-  auto connection = std::make_shared<FrameConnection>(
-    std::move(*socket),
-    FrameConnection::Hooks{
-      .payload =
-        [this, done, outcome](const std::string& aPayload) -> tl::expected<void, CodecError> {
-        const auto envelope = DecodePeer(aPayload);
-        if (!envelope)
-          return tl::unexpected(envelope.error());
-        if (const auto* reply = std::get_if<StateReply>(&envelope->message)) {
-          *outcome = reply->delegates.empty() ? Outcome::Answered : Outcome::Redirected;
-          OnStateReply(envelope->sender, *reply);
-        }
-        done->cancel();
-        return {};
-      },
-      .closed = [done](const std::string&) { done->cancel(); },
-    });
-  connection->Start();
   StateRequest request;
   if (storeFollowing_.MayBeRedirected(ReadClocks().monotonic)) {
     request.domain = options_.self.failureDomain;
@@ -388,12 +338,16 @@
   }
   for (size_t i = 0; i < kObjectKindCount; ++i)
     request.revisions[i] = keeper_.Snapshot(static_cast<ObjectKind>(i)).revision;
-  connection->Send({ .payload = EncodePeer(options_.self.id, request) });
-  co_await done->async_wait(kAwaitTuple);
-  connection->Close();
-  if (*outcome == Outcome::NoAnswer)
+  const auto envelope =
+    co_await stateClient_.Request(aPeer, EncodePeer(options_.self.id, request));
+  if (!envelope) {
+    metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
     storeFollowing_.OnPeerRequestFailed(aPeer);
-  co_return *outcome == Outcome::Redirected;
+    co_return false;
+  }
+  const auto& reply = std::get<StateReply>(envelope->message);
+  OnStateReply(envelope->sender, reply);
+  co_return !reply.delegates.empty();
 }
 
 asio::awaitable<void>
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "dragonflymoor/Net/Clock.h"
 #include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Log.h"
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -22,8 +23,11 @@
 
 constexpr std::string_view kComponent = "gateway";
 
-/// How often the traffic thread checks deadlines, queues and load reports.
+/// How often the traffic thread checks deadlines, queues and load reports while requests wait for a
+/// slot, and while none does. Most of hundreds of VMs have only a few requests in flight, and their
+/// ticks would take more time than the requests.
 constexpr Duration kTickPeriod = 10ms;
+constexpr Duration kIdleTickPeriod = 50ms;
 
 /// How often the traffic thread ticks the caller front and sets the gauges.
 constexpr Duration kGaugePeriod = 250ms;
@@ -72,6 +76,7 @@
   asio::awaitable<void> AcceptCallers();
   asio::awaitable<void> CheckInstanceHealth(Instance aInstance, std::string aHealthPath);
   asio::awaitable<void> RunPeriodicTasks();
+  Duration TimeUntilNextTick(TimePoint aNow) const;
   asio::awaitable<void> HandleSignals();
   /// Reads the settings again. Invalid settings are logged and the previous ones remain in force.
   void ReloadSettings(std::string_view aCause);
@@ -288,6 +293,14 @@
   dispatcher.OnProbe(ReadClocks().monotonic, aInstance.id, health.result, health.remainingColdTime);
 }
 
+Duration
+Gateway::Impl::TimeUntilNextTick(TimePoint aNow) const
+{
+  if (dispatcher.WaitingCount() > 0)
+    return kTickPeriod;
+  return std::clamp(loadExchange.NextSendTime() - aNow, kTickPeriod, kIdleTickPeriod);
+}
+
 asio::awaitable<void>
 Gateway::Impl::RunPeriodicTasks()
 {
@@ -296,7 +309,7 @@
   TimePoint nextLogFlushTime;
   TimePoint nextSettingsPollTime = ReadClocks().monotonic + kSettingsPollPeriod;
   for (;;) {
-    timer.expires_after(kTickPeriod);
+    timer.expires_after(TimeUntilNextTick(ReadClocks().monotonic));
     co_await timer.async_wait(kAwaitTuple);
     const TimePoint now = ReadClocks().monotonic;
     instanceClient.OnTick(now);
--- a/lib/Gateway/LoadExchange.cpp
+++ b/lib/Gateway/LoadExchange.cpp
@@ -83,6 +83,17 @@
   }
 }
 
+TimePoint
+LoadExchange::NextSendTime() const
+{
+  TimePoint next = TimePoint::max();
+  for (const ReceiverGroup* group : { &sameDomainGroup_, &sameRegionGroup_, &otherRegionsGroup_ }) {
+    if (!group->endpoints.empty())
+      next = std::min(next, group->nextSendTime);
+  }
+  return next;
+}
+
 void
 LoadExchange::SendLoads(ReceiverGroup& aGroup, TimePoint aNow)
 {
--- a/lib/Net/FrameConnection.cpp
+++ b/lib/Net/FrameConnection.cpp
@@ -14,7 +14,7 @@
 constexpr size_t kFrameOverheadBytes = 128;
 /// A frame of 9 MB passes a link of 280 Mbit/s in 0.3 s.
 constexpr auto kWriteTimeout = std::chrono::seconds(5);
-constexpr size_t kReadBytes = 64UL * 1024;
+constexpr size_t kReadBytes = 16UL * 1024;
 
 } // namespace
 
