Keep most VMs from calling the store when it refuses their follower

The store is silent to a third of the VMs for 9 s. A follower that had lost the store also still named delegates, which relied on it or on each other.

Change: an answer that the store is lost makes a VM ask the next follower at once. A region has three followers in a fixed order; each asks only those before it, takes over as soon as all of these have lost the store, and otherwise before the reports of the others expire. Followers are not sent to delegates, and a VM without the store names none. Faults are remembered for 10 s, so that VMs do not change between followers and become each other's delegates.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -61,7 +61,7 @@
   /// Handles a message that another VM sent on aConnection. An error closes the connection.
   tl::expected<void, CodecError> OnPeerPayload(std::string_view aPayload,
                                                const std::shared_ptr<FrameConnection>& aConnection);
-  /// Asks a peer for the fleet state. Returns whether the peer named others to ask in its place.
+  /// Asks a peer for the fleet state. Returns whether another one is to be asked at once.
   asio::awaitable<bool> RequestState(Endpoint aPeer);
   asio::awaitable<void> AcceptPeers();
   asio::awaitable<void> Tick();
@@ -71,7 +71,7 @@
   StateReply MakeStateReply(const StateRequest& aRequest);
   /// PackObjects of the present state, kept until the state changes.
   const std::string& PackedSnapshot(ObjectKind aKind);
-  void OnStateReply(const VmId& aFrom, const StateReply& aReply);
+  void OnStateReply(const Endpoint& aPeer, const VmId& aFrom, const StateReply& aReply);
   void StartMembership();
   /// Passes registeredVms_ to membership_ as candidates.
   void PassRegisteredVmsToMembership();
--- a/include/dragonflymoor/Steering/StoreFollowing.h
+++ b/include/dragonflymoor/Steering/StoreFollowing.h
@@ -3,6 +3,7 @@
 
 #include "dragonflymoor/Steering/FleetKeeper.h"
 #include <array>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -18,9 +19,9 @@
 /// Decides whether this VM follows the platform's store, that is, reads and watches its objects by
 /// calls of its own, or receives changes from a VM that does. Calls are priced and share the
 /// store's rate limit, so in each region a few VMs, chosen from the membership by rendezvous
-/// hashing, are asked by the others: the first of them follows the store, the second asks the first
-/// and takes over when that no longer answers. A VM that gets no answer from them follows the store
-/// itself. No I/O, no clock. Not thread-safe.
+/// hashing, are asked by the others: the first of them follows the store, the next ones ask those
+/// before them and take over when these have lost the store or no longer answer. A VM that gets no
+/// answer from them follows the store itself. No I/O, no clock. Not thread-safe.
 class StoreFollowing
 {
 public:
@@ -37,13 +38,17 @@
   /// Another VM answered a state request; aStoreAnswerAge is the time since the store answered that
   /// VM, or the one that serves it, and is empty when neither reaches the store. True when this VM,
   /// which has never reached the store, now assumes that the store is reachable.
-  bool OnPeerAnswer(TimePoint aNow, std::optional<Duration> aStoreAnswerAge);
+  bool OnPeerAnswer(TimePoint aNow, const Endpoint& aPeer, std::optional<Duration> aStoreAnswerAge);
+
+  /// Whether the last answer came from a VM that has lost the store, while this VM relies on
+  /// others: PeersToAsk() names another one, which is to be asked at once.
+  bool MustAskAnotherPeer() const { return mustAskAnotherPeer_; }
 
   /// Another VM named VMs to ask in its place. They are asked for some seconds; then the other VM
   /// is asked again, as chains of VMs that rely on each other would grow with each change.
   void OnDelegates(TimePoint aNow, std::vector<Endpoint> aDelegates);
   /// A state request to aPeer got no answer.
-  void OnPeerRequestFailed(const Endpoint& aPeer);
+  void OnPeerRequestFailed(TimePoint aNow, const Endpoint& aPeer);
 
   /// The store answered the last call of each kind, or another VM reported it reachable before this
   /// VM ever reached it.
@@ -69,8 +74,8 @@
   /// Peers of which one is to be asked for the fleet state; empty for a VM that follows the store.
   std::vector<Endpoint> PeersToAsk(TimePoint aNow, const std::vector<Vm>& aRegistered) const;
 
-  /// Whether peers may name others in their place. A VM that has lost the store asks any VM, and
-  /// those that it is directed to might rely on it.
+  /// Whether peers may name others in their place. A VM that has lost the store asks any VM, and a
+  /// follower is asked by others: those that they are directed to might rely on them.
   bool MayBeRedirected(TimePoint aNow) const;
 
   /// Longest wait between two calls to a store that does not answer.
@@ -85,6 +90,19 @@
   bool IsFollower(TimePoint aNow) const;
   /// Whether another VM reported recently that the store answers.
   bool HasFreshPeerReport(TimePoint aNow) const;
+  /// Position of this VM among followers_, or their number.
+  size_t FollowerRank() const;
+  /// Whether this VM is one of followers_, with membership settled.
+  bool MayFollow(TimePoint aNow) const;
+  /// Whether aPeer recently did not answer or had lost the store.
+  bool HasRecentFault(TimePoint aNow, const Endpoint& aPeer) const;
+  /// Whether all followers before this one have lost the store, so that this one takes over.
+  bool HaveEarlierFollowersLostStore(TimePoint aNow) const;
+  /// The follower that this VM asks, one without a recent fault if there is any. A follower asks
+  /// the first one before it, so that no two rely on each other and chains stay short.
+  std::vector<Endpoint> FollowersToAsk(TimePoint aNow) const;
+  /// Makes PreferredPeer() choose another peer than aPeer.
+  void RotatePeers(const Endpoint& aPeer);
   bool MustAskDelegate(TimePoint aNow) const;
   /// The one of aPeers that this VM asks until a request fails. VMs that changed at will between
   /// peers could be named as delegates to each other.
@@ -102,6 +120,13 @@
   std::optional<TimePoint> peerReportedReachableAt_;
   std::optional<TimePoint> lastPeerAnswer_;
   size_t failedRootRequests_ = 0;
+  bool mustAskAnotherPeer_ = false;
+  struct PeerFault
+  {
+    TimePoint at;
+    bool lostStore = false; ///< The peer answered that it has lost the store.
+  };
+  std::map<Endpoint, PeerFault> faultsByFollower_;
   std::vector<Endpoint> delegates_; ///< Serve this VM in place of the followers or seeds.
   TimePoint delegatesNamedAt_;
 };
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -338,16 +338,15 @@
   }
   for (size_t i = 0; i < kObjectKindCount; ++i)
     request.revisions[i] = keeper_.Snapshot(static_cast<ObjectKind>(i)).revision;
-  const auto envelope =
-    co_await stateClient_.Request(aPeer, EncodePeer(options_.self.id, request));
+  const auto envelope = co_await stateClient_.Request(aPeer, EncodePeer(options_.self.id, request));
   if (!envelope) {
     metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
-    storeFollowing_.OnPeerRequestFailed(aPeer);
+    storeFollowing_.OnPeerRequestFailed(ReadClocks().monotonic, aPeer);
     co_return false;
   }
   const auto& reply = std::get<StateReply>(envelope->message);
-  OnStateReply(envelope->sender, reply);
-  co_return !reply.delegates.empty();
+  OnStateReply(aPeer, envelope->sender, reply);
+  co_return !reply.delegates.empty() || storeFollowing_.MustAskAnotherPeer();
 }
 
 asio::awaitable<void>
@@ -418,7 +417,8 @@
   StateReply reply{ .storeSteady = answerAge && steady,
                     .storeReachable = answerAge.has_value(),
                     .answerAge = answerAge.value_or(Duration{}) };
-  if (!aRequest.domain.Empty())
+  // The delegates of a VM that has lost the store rely on it, or on those that ask it now.
+  if (answerAge && !aRequest.domain.Empty())
     reply.delegates = delegation_.DelegatesFor(now, aRequest.domain, aRequest.peers);
   if (!reply.delegates.empty())
     return reply;
@@ -446,7 +446,7 @@
 }
 
 void
-FleetSync::OnStateReply(const VmId& aFrom, const StateReply& aReply)
+FleetSync::OnStateReply(const Endpoint& aPeer, const VmId& aFrom, const StateReply& aReply)
 {
   const TimePoint now = ReadClocks().monotonic;
   if (!aReply.delegates.empty()) {
@@ -455,7 +455,7 @@
   }
   keeper_.OnPeerStoreStatus(now, aReply.storeSteady);
   if (storeFollowing_.OnPeerAnswer(
-        now, aReply.storeReachable ? std::optional(aReply.answerAge) : std::nullopt))
+        now, aPeer, aReply.storeReachable ? std::optional(aReply.answerAge) : std::nullopt))
     ReportStoreReachable("store reached through another vm");
   for (const StateReply::Kind& kind : aReply.kinds) {
     if (kind.complete) {
--- a/lib/Steering/StoreFollowing.cpp
+++ b/lib/Steering/StoreFollowing.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// VMs of one region that the others ask for the state. Only the first follows the store: each call
-/// to it costs more than the bytes of a request between failure domains.
-constexpr size_t kFollowersPerRegion = 2;
+/// VMs of one region that may follow the store for the others. Only the first does while it reaches
+/// the store: each call to it costs more than the bytes of a request between failure domains.
+constexpr size_t kFollowersPerRegion = 3;
 
 /// A starting VM asks the seeds for the state and follows the store itself when none has answered
 /// for this long. Many VMs start at once, and would load the store together.
@@ -25,8 +25,16 @@
 constexpr Duration kMembershipSettleTime = 3s;
 
 /// A VM that asks others follows the store itself when none has reported it reachable for this
-/// long.
-constexpr Duration kPeerReportLifetime = 800ms;
+/// long. Followers do so earlier: the others are to learn that one has taken over before their own
+/// reports expire, as otherwise all of them would call the store at the same time.
+constexpr Duration kFollowerReportLifetime = 600ms;
+constexpr Duration kPeerReportLifetime = 1200ms;
+
+/// How long followers, and the other VMs, avoid a follower that has lost the store or did not
+/// answer. One that changed between the followers often could be named as a delegate to VMs on
+/// which it relies itself.
+constexpr Duration kFaultLifetimeOfFollowers = 2s;
+constexpr Duration kFaultLifetime = 10s;
 
 /// Added to it for a VM that asks a delegate, whose own report has some age.
 constexpr Duration kDelegatedReportLifetime = 400ms;
@@ -70,6 +78,8 @@
     return RendezvousWeight(region, aLeft.id.Value()) > RendezvousWeight(region, aRight.id.Value());
   });
   followers_.resize(std::min(followers_.size(), kFollowersPerRegion));
+  std::erase_if(faultsByFollower_,
+                [aNow](const auto& aEntry) { return aNow - aEntry.second.at >= kFaultLifetime; });
   regionCount_ = std::max<size_t>(regions.size(), 1);
 }
 
@@ -83,11 +93,20 @@
 }
 
 bool
-StoreFollowing::OnPeerAnswer(TimePoint aNow, std::optional<Duration> aStoreAnswerAge)
+StoreFollowing::OnPeerAnswer(TimePoint aNow,
+                             const Endpoint& aPeer,
+                             std::optional<Duration> aStoreAnswerAge)
 {
   lastPeerAnswer_ = aNow;
-  if (!aStoreAnswerAge)
+  mustAskAnotherPeer_ = false;
+  if (!aStoreAnswerAge) {
+    RotatePeers(aPeer);
+    const bool isNew = !HasRecentFault(aNow, aPeer);
+    faultsByFollower_[aPeer] = { .at = aNow, .lostStore = true };
+    mustAskAnotherPeer_ = isNew && IsStoreReachable() && IsMembershipSettled(aNow);
     return false;
+  }
+  faultsByFollower_.erase(aPeer);
   const TimePoint answeredAt = aNow - *aStoreAnswerAge;
   peerReportedReachableAt_ = std::max(peerReportedReachableAt_.value_or(answeredAt), answeredAt);
   if (wasEverReachable_)
@@ -133,11 +152,68 @@
          aNow - lastSign < kSeedAnswerTimeout && aNow - options_.startedAt < kMaxSeedWait;
 }
 
+size_t
+StoreFollowing::FollowerRank() const
+{
+  const auto self = std::find_if(followers_.begin(), followers_.end(), [this](const Vm& aVm) {
+    return aVm.id == options_.self.id;
+  });
+  return static_cast<size_t>(self - followers_.begin());
+}
+
+bool
+StoreFollowing::MayFollow(TimePoint aNow) const
+{
+  return IsMembershipSettled(aNow) && FollowerRank() < followers_.size();
+}
+
+bool
+StoreFollowing::HasRecentFault(TimePoint aNow, const Endpoint& aPeer) const
+{
+  const auto fault = faultsByFollower_.find(aPeer);
+  const Duration lifetime = MayFollow(aNow) ? kFaultLifetimeOfFollowers : kFaultLifetime;
+  return fault != faultsByFollower_.end() && aNow - fault->second.at < lifetime;
+}
+
+bool
+StoreFollowing::HaveEarlierFollowersLostStore(TimePoint aNow) const
+{
+  const size_t rank = FollowerRank();
+  if (rank == 0 || rank == followers_.size())
+    return false;
+  const auto earlierEnd = followers_.begin() + static_cast<std::ptrdiff_t>(rank);
+  return std::all_of(followers_.begin(), earlierEnd, [this, aNow](const Vm& aVm) {
+    return HasRecentFault(aNow, aVm.peers) && faultsByFollower_.at(aVm.peers).lostStore;
+  });
+}
+
+std::vector<Endpoint>
+StoreFollowing::FollowersToAsk(TimePoint aNow) const
+{
+  std::vector<Endpoint> peers;
+  const auto earlierEnd = followers_.begin() + static_cast<std::ptrdiff_t>(FollowerRank());
+  for (auto vm = followers_.begin(); vm != earlierEnd; ++vm)
+    peers.push_back(vm->peers);
+  // The other VMs divide between the first two.
+  if (!MayFollow(aNow) && peers.size() > 1 && HashBytes(options_.self.id.Value()) % 2 != 0)
+    std::swap(peers[0], peers[1]);
+  const auto healthy =
+    std::find_if(peers.begin(), peers.end(), [this, aNow](const Endpoint& aPeer) {
+      return !HasRecentFault(aNow, aPeer);
+    });
+  if (healthy != peers.end())
+    return { *healthy };
+  return PreferredPeer(std::move(peers));
+}
+
 bool
 StoreFollowing::HasFreshPeerReport(TimePoint aNow) const
 {
-  const Duration lifetime =
-    kPeerReportLifetime + (delegates_.empty() ? Duration{} : kDelegatedReportLifetime);
+  const bool isFollower = MayFollow(aNow);
+  if (isFollower && HaveEarlierFollowersLostStore(aNow))
+    return false;
+  const Duration lifetime = (isFollower ? kFollowerReportLifetime : kPeerReportLifetime) +
+                            (delegates_.empty() ? Duration{} : kDelegatedReportLifetime);
   return peerReportedReachableAt_ && aNow - *peerReportedReachableAt_ < lifetime;
 }
 
@@ -177,11 +253,7 @@
       return { delegates_.front() };
     if (!IsMembershipSettled(aNow))
       return PreferredPeer(options_.seeds);
-    const bool isSecond = followers_.size() > 1 && followers_[1].id == options_.self.id;
-    if (isSecond)
-      return { followers_.front().peers };
-    add(followers_);
-    return PreferredPeer(std::move(peers));
+    return FollowersToAsk(aNow);
   }
   if (IsWaitingForSeeds(aNow))
     return delegates_.empty() ? PreferredPeer(options_.seeds) : std::vector{ delegates_.front() };
@@ -205,7 +277,8 @@
 bool
 StoreFollowing::MustAskDelegate(TimePoint aNow) const
 {
-  if (delegates_.empty())
+  // A delegate may in turn rely on this VM if this one may follow the store.
+  if (delegates_.empty() || MayFollow(aNow))
     return false;
   // Delegates that do not reach the store are given up before their last report expires.
   const bool reachesStore = HasFreshPeerReport(aNow + kPeerReportLifetime / 2);
@@ -213,7 +286,14 @@
 }
 
 void
-StoreFollowing::OnPeerRequestFailed(const Endpoint& aPeer)
+StoreFollowing::OnPeerRequestFailed(TimePoint aNow, const Endpoint& aPeer)
+{
+  RotatePeers(aPeer);
+  faultsByFollower_[aPeer] = { .at = aNow };
+}
+
+void
+StoreFollowing::RotatePeers(const Endpoint& aPeer)
 {
   if (std::erase(delegates_, aPeer) == 0)
     ++failedRootRequests_;
@@ -232,7 +312,7 @@
 bool
 StoreFollowing::MayBeRedirected(TimePoint aNow) const
 {
-  return IsStoreReachable() || IsWaitingForSeeds(aNow);
+  return (IsStoreReachable() && !MayFollow(aNow)) || IsWaitingForSeeds(aNow);
 }
 
 Duration
--- a/unittests/Steering/StoreFollowingTest.cpp
+++ b/unittests/Steering/StoreFollowingTest.cpp
@@ -92,6 +92,14 @@
     }
     return nodes_.size();
   }
+  /// The first VM that calls the store and is not refused.
+  size_t FirstAcceptedCaller() const
+  {
+    const auto found = std::find_if(nodes_.begin(), nodes_.end(), [this](const Node& aNode) {
+      return !aNode.diedAt && !aNode.refused && !aNode.following->IsServedByFollower(now_);
+    });
+    return static_cast<size_t>(found - nodes_.begin());
+  }
   unsigned CallCount() const { return calls_; }
   /// Number of VMs with the state.
   size_t InformedCount() const
@@ -184,7 +192,7 @@
       if (other.vm.peers != peer)
         continue;
       if (other.diedAt)
-        aNode.following->OnPeerRequestFailed(peer);
+        aNode.following->OnPeerRequestFailed(now_, peer);
       else
         Answer(other, aNode);
     }
@@ -192,8 +200,9 @@
 
   void Answer(Node& aAnswering, Node& aAsking)
   {
+    const auto answerAge = aAnswering.following->StoreAnswerAge(now_);
     std::vector<Endpoint> delegates;
-    if (aAsking.following->MayBeRedirected(now_))
+    if (answerAge && aAsking.following->MayBeRedirected(now_))
       delegates =
         aAnswering.delegation->DelegatesFor(now_, aAsking.vm.failureDomain, aAsking.vm.peers);
     if (!delegates.empty()) {
@@ -206,7 +215,9 @@
       wholeStatesBetweenDomains_ += aAnswering.vm.failureDomain == aAsking.vm.failureDomain ? 0 : 1;
     }
     aAsking.knownStoreTime = std::max(aAsking.knownStoreTime, aAnswering.knownStoreTime);
-    aAsking.following->OnPeerAnswer(now_, aAnswering.following->StoreAnswerAge(now_));
+    aAsking.following->OnPeerAnswer(now_, aAnswering.vm.peers, answerAge);
+    if (aAsking.following->MustAskAnotherPeer())
+      aAsking.nextAskTime = now_ + kStep;
   }
 
   void Call(Node& aNode)
@@ -265,6 +276,45 @@
   }
 }
 
+/// Guards against a region in which most VMs call the store because it refuses, or has lost, the
+/// one VM that follows it for the others: 5,200 calls in a day of 295 VMs instead of 800.
+Test(StoreFollowing, FewVmsCallTheStoreWhenItRefusesSome)
+{
+  struct Case
+  {
+    const char* name;
+    size_t refused;
+    size_t killed;
+  };
+  const Case cases[] = {
+    { "the first refused", 1, 0 },
+    { "the first two refused", 2, 0 },
+    { "the first killed", 0, 1 },
+    { "the first killed, the second refused", 1, 1 },
+  };
+  constexpr size_t kMaxCallers = 4;
+  for (const Case& testCase : cases) {
+    for (const size_t vms : { 26, 98 }) {
+      Region region({ .vms = vms, .domains = 3 });
+      region.Run(8s);
+      for (size_t fault = 0; fault < testCase.refused + testCase.killed; ++fault) {
+        const size_t caller = region.FirstAcceptedCaller();
+        if (fault < testCase.killed)
+          region.Kill(caller);
+        else
+          region.Refuse(caller, true);
+        size_t most = 0;
+        for (int step = 0; step < 100; ++step) {
+          region.Run(kStep);
+          most = std::max(most, region.StoreCallerCount());
+        }
+        cr_assert(most <= kMaxCallers, "%s, %zu vms: %zu call", testCase.name, vms, most);
+        cr_assert(region.Lag() <= kInForce, "%s, %zu vms", testCase.name, vms);
+      }
+    }
+  }
+}
+
 /// Guards against two VMs that each take the other's word for being up to date with the store, so
 /// that neither calls it.
 Test(StoreFollowing, VmsDoNotRelyOnEachOther)
