--- a/include/dragonflymoor/Steering/SpillControl.h
+++ b/include/dragonflymoor/Steering/SpillControl.h
@@ -17,7 +17,9 @@
   double moveAbove = 0.85;
   double returnBelow = 0.65;
   /// Another region receives keys only while its utilization is below takeBelow, and returns them
-  /// when its utilization exceeds giveBackAbove.
+  /// when its utilization exceeds giveBackAbove. While requests wait in the own region, it receives
+  /// keys up to giveBackAbove, and returns none unless its utilization is higher still: its free
+  /// slots serve requests that would be refused.
   double takeBelow = 0.7;
   double giveBackAbove = 0.9;
   /// Change of a region's share of the keys per second. The platform allows a change of 15 % in 2
@@ -27,7 +29,7 @@
   /// be equal in all regions. Cold objects take several times the slots of warm ones.
   double expectedUse = 0.5;
   /// Largest fraction of the keys that other regions serve together.
-  double maxShare = 0.75;
+  double maxShare = 0.85;
 };
 
 /// Slots of one service in one region and how many are busy, summed over all VMs.
--- a/lib/Steering/SpillControl.cpp
+++ b/lib/Steering/SpillControl.cpp
@@ -11,6 +11,9 @@
 /// Upper bound for the time between two updates that counts towards the change of the shares.
 constexpr double kMaxStepSeconds = 0.5;
 
+/// Utilization above which requests wait for a slot.
+constexpr double kAllSlotsBusy = 1;
+
 double
 Utilization(const RegionUse& aUse)
 {
@@ -86,14 +89,17 @@
     }
   }
 
-  if (maxSpillUtilization > options_.giveBackAbove ||
-      (maxSpillUtilization >= 0 && ownUtilization < options_.returnBelow)) {
+  const bool otherIsWorseOff =
+    maxSpillUtilization > options_.giveBackAbove && maxSpillUtilization > ownUtilization;
+  if (otherIsWorseOff || (maxSpillUtilization >= 0 && ownUtilization < options_.returnBelow)) {
     double& share = shares_[mostUtilizedSpillRegion];
     share = std::max(0.0, share - shareChange);
     return;
   }
+  const double takeBelow =
+    ownUtilization > kAllSlotsBusy ? options_.giveBackAbove : options_.takeBelow;
   if (ownUtilization > options_.moveAbove && leastUtilized != nullptr &&
-      Utilization(*leastUtilized) < options_.takeBelow && TotalShare() < options_.maxShare)
+      Utilization(*leastUtilized) < takeBelow && TotalShare() < options_.maxShare)
     shares_[leastUtilized->region] += shareChange;
 }
 
--- a/unittests/Steering/SpillControlTest.cpp
+++ b/unittests/Steering/SpillControlTest.cpp
@@ -73,6 +73,47 @@
   cr_assert(control.TotalShare() < 0.05);
 }
 
+/// Replays a lasting overload of a region with a tenth of the slots. Guards against refusing its
+/// requests while other regions have free slots, and against filling other regions for it.
+Test(SpillControl, MovesRequestsThatWouldBeRefused)
+{
+  struct Case
+  {
+    const char* name;
+    double demand;      ///< Slots that the requests from the own region need.
+    double othersUse;   ///< Utilization of the others by their own requests.
+    double maxRefused;  ///< Bound of the refused part of the own requests.
+    double maxOtherUse; ///< Bound of the utilization of the others.
+  };
+  constexpr double kOwnSlots = 10;
+  constexpr double kOtherSlots = 100;
+  const Case cases[] = {
+    { "light load elsewhere", 30, 0.3, 0.01, 0.7 },
+    { "most slots busy elsewhere", 30, 0.7, 0.01, 0.95 },
+    { "nearly all slots busy elsewhere", 30, 0.93, 0.8, 0.95 },
+  };
+  for (const Case& load : cases) {
+    SpillControl control(RegionId("own"), {});
+    TimePoint now{ 50s };
+    double refused = 0;
+    double otherUse = 0;
+    for (int step = 0; step < 400; ++step) {
+      now += 100ms;
+      const double share = control.TotalShare();
+      const double own = load.demand * (1 - share);
+      otherUse = load.othersUse + load.demand * share / kOtherSlots;
+      refused = std::max(0.0, own - kOwnSlots) / load.demand;
+      // What cannot be served waits and keeps the utilization of the own region above one.
+      control.UpdateShares(
+        now,
+        { { .region = RegionId("own"), .slots = kOwnSlots, .busy = own },
+          { .region = RegionId("east"), .slots = kOtherSlots, .busy = otherUse * kOtherSlots } });
+    }
+    cr_assert(refused <= load.maxRefused, "%s: %f refused", load.name, refused);
+    cr_assert(otherUse <= load.maxOtherUse, "%s: %f in use elsewhere", load.name, otherUse);
+  }
+}
+
 /// Guards against a region with few slots that starts with all of its own requests: all objects are
 /// cold, and moving a third of the running requests within seconds exceeds the bound on moves.
 Test(SpillControl, StartsWithSharesThatFitTheRegions)
