Start tasks again that an unexpected error ended

Cause, of the kind that operators of similar systems reported: an exception in a handler ended the process, and one in a task (following the store, asking peers, accepting callers, ticks) ended that task without a log line, so that the VM served on with old state.

Change: SpawnTask logs the exception and starts the task again after a pause; RunContext logs one that leaves a handler and goes on.

Test: Gateway/FollowsTheStoreAfterAnUnexpectedError, with a decoder that throws once.

--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Gateway/FleetSync.h"
 
+#include "dragonflymoor/Gateway/Tasks.h"
 #include "dragonflymoor/Net/Clock.h"
 #include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Log.h"
@@ -160,12 +161,16 @@
 void
 FleetSync::Start()
 {
-  for (size_t i = 0; i < kObjectKindCount; ++i)
-    asio::co_spawn(context_, FollowObjects(static_cast<ObjectKind>(i)), asio::detached);
-  asio::co_spawn(context_, RegisterAndListVms(), asio::detached);
-  asio::co_spawn(context_, PollPeers(), asio::detached);
-  asio::co_spawn(context_, AcceptPeers(), asio::detached);
-  asio::co_spawn(context_, Tick(), asio::detached);
+  for (size_t i = 0; i < kObjectKindCount; ++i) {
+    const auto kind = static_cast<ObjectKind>(i);
+    SpawnTask(context_, fmt::format("follow {}", ToString(kind)), [this, kind] {
+      return FollowObjects(kind);
+    });
+  }
+  SpawnTask(context_, "register and list vms", [this] { return RegisterAndListVms(); });
+  SpawnTask(context_, "poll peers", [this] { return PollPeers(); });
+  SpawnTask(context_, "accept peers", [this] { return AcceptPeers(); });
+  SpawnTask(context_, "tick", [this] { return Tick(); });
 }
 
 asio::awaitable<void>
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "dragonflymoor/Gateway/FleetSync.h"
 #include "dragonflymoor/Gateway/LoadExchange.h"
 #include "dragonflymoor/Gateway/PageServer.h"
+#include "dragonflymoor/Gateway/Tasks.h"
 #include "dragonflymoor/Net/Clock.h"
 #include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Log.h"
@@ -458,12 +459,12 @@
   impl.readinessServer->Start();
   impl.directoryServer->Start();
   impl.operatorServer->Start();
-  asio::co_spawn(impl.trafficContext, impl.AcceptCallers(), asio::detached);
-  asio::co_spawn(impl.trafficContext, impl.RunPeriodicTasks(), asio::detached);
-  asio::co_spawn(impl.trafficContext, impl.HandleSignals(), asio::detached);
+  SpawnTask(impl.trafficContext, "accept callers", [&impl] { return impl.AcceptCallers(); });
+  SpawnTask(impl.trafficContext, "periodic tasks", [&impl] { return impl.RunPeriodicTasks(); });
+  SpawnTask(impl.trafficContext, "signals", [&impl] { return impl.HandleSignals(); });
   impl.fleetSync.Start();
-  std::thread controlThread([&impl] { impl.controlContext.run(); });
-  impl.trafficContext.run();
+  std::thread controlThread([&impl] { RunContext(impl.controlContext); });
+  RunContext(impl.trafficContext);
   controlThread.join();
   FlushLog();
 }
--- a/unittests/Platform/GatewayFixture.cpp
+++ b/unittests/Platform/GatewayFixture.cpp
@@ -89,10 +89,12 @@
 void
 GatewayFixture::Start(bool aWaitUntilReady)
 {
-  auto gateway = Gateway::Create(
-    { .settings = settings_, .platform = platform::MakeAdapter(settings_), .readSettings = [this] {
-       return Checked<SteeringSettings>(settings_);
-     } });
+  GatewayOptions options{ .settings = settings_,
+                          .platform = platform::MakeAdapter(settings_),
+                          .readSettings = [this] { return Checked<SteeringSettings>(settings_); } };
+  if (changeOptions_)
+    changeOptions_(options);
+  auto gateway = Gateway::Create(std::move(options));
   if (!gateway)
     throw std::runtime_error(FormatFindings(gateway.error()));
   gateway_ = std::move(*gateway);
--- a/unittests/Platform/GatewayFixture.h
+++ b/unittests/Platform/GatewayFixture.h
@@ -4,6 +4,7 @@
 #include "StandIns.h"
 #include "dragonflymoor/Gateway/Gateway.h"
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,6 +67,8 @@
 protected:
   /// Time that callers give the VM to answer.
   std::chrono::milliseconds callerDeadline_ = 5s;
+  /// Changes the options with which the VM starts; may be empty.
+  std::function<void(GatewayOptions&)> changeOptions_;
 
 private:
   static constexpr size_t kPortCount = 6;
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -2,6 +2,7 @@
 #include "dragonflymoor/Steering/PeerMessages.h"
 #include "dragonflymoor/Wire/Framing.h"
 
+#include <atomic>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -322,6 +323,45 @@
   cr_assert(answer && answer->result() == http::status::ok);
 }
 
+/// A VM whose decoder of instances throws on the first objects named "i-throws".
+struct ThrowingDecoderFixture : GatewayFixture
+{
+  ThrowingDecoderFixture()
+  {
+    changeOptions_ = [this](GatewayOptions& aOptions) {
+      auto& decode = aOptions.platform.decoders.instance;
+      decode = [this, decodeInstance = decode](
+                 const std::string& aName, std::string_view aObject, TimePoint aNow) {
+        if (aName == "i-throws" && throwCount++ == 0)
+          throw std::runtime_error("unexpected");
+        return decodeInstance(aName, aObject, aNow);
+      };
+    };
+  }
+
+  std::atomic<int> throwCount = 0;
+};
+
+/// Guards against an unexpected error in one task that ends the process, or that ends the task
+/// alone so that the VM serves on without ever learning of a change again.
+Test(Gateway, FollowsTheStoreAfterAnUnexpectedError)
+{
+  ThrowingDecoderFixture fixture;
+  StandInInstance instance("i-first");
+  StandInInstance later("i-throws");
+  fixture.Store().Put("config", "main", ManifestSpec(7, { { .service = "any" } }));
+  fixture.Start();
+  fixture.Store().Put("servers", later.Id(), InstanceSpec(later, "any"));
+  const bool thrown = GatewayFixture::WaitUntil([&] { return fixture.throwCount > 0; });
+  cr_assert(thrown);
+  fixture.Store().Put("servers", instance.Id(), InstanceSpec(instance, "any"));
+  const bool served = GatewayFixture::WaitUntil([&] {
+    fixture.Send(http::verb::get, "/read/1", "id");
+    return !instance.ReceivedRequests().empty() || !later.ReceivedRequests().empty();
+  });
+  cr_assert(served);
+}
+
 /// Guards against VMs that stay unknown to each other for half a minute when hundreds start
 /// together: updates in probes alone spread that slowly.
 Test(Gateway, ExchangesMemberLists)
