Call a store that does not answer for one kind of objects only

Cause: while the store is down or refuses calls, each VM repeats the calls for manifest, instances and evacuations, each at its own pace: 295 VMs make some 370 calls a second.

Ruled out: a longer wait between the calls of one VM. Entries that lapse during an outage must be dropped 2.2 s after its end, so that each VM has to notice the end in time.

Change: once the calls for instances fail, the other kinds wait until they succeed.

Test: Gateway/CallsARefusingStoreForOneKind, with one VM: 24 calls in 4 s before, 14 allowed.

--- a/include/dragonflymoor/Steering/StoreFollowing.h
+++ b/include/dragonflymoor/Steering/StoreFollowing.h
@@ -54,6 +54,10 @@
   /// VM ever reached it.
   bool IsStoreReachable() const;
 
+  /// Whether a VM with the state may call the store for objects of aKind. After the store stopped
+  /// answering, calls for one kind find out whether it answers again; the others wait for that.
+  bool MayCallFor(ObjectKind aKind) const;
+
   /// Whether this VM, which knows nothing yet, waits for the seeds' answer before it calls the
   /// store.
   bool IsWaitingForSeeds(TimePoint aNow) const;
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -227,7 +227,8 @@
     co_await Sleep(kTickPeriod);
   for (;;) {
     if (keeper_.Snapshot(aKind).revision > 0 &&
-        storeFollowing_.IsServedByFollower(ReadClocks().monotonic)) {
+        (storeFollowing_.IsServedByFollower(ReadClocks().monotonic) ||
+         !storeFollowing_.MayCallFor(aKind))) {
       co_await Sleep(kPeerPollPeriod);
       continue;
     }
--- a/lib/Steering/StoreFollowing.cpp
+++ b/lib/Steering/StoreFollowing.cpp
@@ -123,6 +123,13 @@
     lastCallAnswered_.begin(), lastCallAnswered_.end(), [](bool aAnswered) { return aAnswered; });
 }
 
+bool
+StoreFollowing::MayCallFor(ObjectKind aKind) const
+{
+  return !wasEverReachable_ || aKind == ObjectKind::Instances ||
+         lastCallAnswered_[static_cast<size_t>(ObjectKind::Instances)];
+}
+
 bool
 StoreFollowing::IsSeed() const
 {
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -323,6 +323,32 @@
   cr_assert(answer && answer->result() == http::status::ok);
 }
 
+/// Guards against VMs that all repeat the calls for each kind of objects while the store refuses
+/// them: most of the calls of a day on which it is down for seconds.
+Test(Gateway, CallsARefusingStoreForOneKind)
+{
+  // The watch and the list of each kind, then lists of one kind after 0.1, 0.2, 0.4 and each 0.8 s,
+  // and one call for the list of VMs.
+  constexpr unsigned kMaxCallsIn4Seconds = 6 + 7 + 1;
+  ServingFixture fixture;
+  const unsigned callsBefore = fixture.Store().CallCount();
+  fixture.Store().SetMode(StandInStore::Mode::Refusing);
+  std::this_thread::sleep_for(4s);
+  const unsigned calls = fixture.Store().CallCount() - callsBefore;
+  cr_assert(calls >= 3 && calls <= kMaxCallsIn4Seconds, "%u calls", calls);
+  fixture.Store().SetMode(StandInStore::Mode::Answering);
+  fixture.Store().Delete("servers", fixture.firstInstance.Id());
+  fixture.Store().Put(
+    "config",
+    "main",
+    ManifestSpec(8, { { .service = "any" }, { .prefix = "/new/", .service = "any" } }));
+  const bool inForce = GatewayFixture::WaitUntil([&] {
+    const auto answer = fixture.Send(http::verb::get, "/new/1", "id");
+    return answer && answer->result() == http::status::ok;
+  });
+  cr_assert(inForce);
+}
+
 /// A VM whose decoder of instances throws on the first objects named "i-throws".
 struct ThrowingDecoderFixture : GatewayFixture
 {
