Test that a VM which starts during an outage uses no removed instance

One of the reports of operators of similar systems: after a restart a server that had left was in use again. It cannot happen here as far as this test shows: the state that one VM passes on holds only the entries of the store, not those that it keeps beyond their lapse.

--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -115,6 +115,31 @@
   cr_assert(not fixture.HasUsableInstance("i-2"));
 }
 
+/// Guards against a VM that starts while the store is away, gets its state from another VM, and
+/// uses an instance that has left or lapsed: that VM keeps lapsed instances for a while.
+Test(FleetKeeper, StartedVmUsesNoRemovedInstances)
+{
+  struct Case
+  {
+    const char* name;
+    bool storeLost; ///< The VM that passes on its state loses the store before the removal.
+  };
+  for (const Case& testCase : { Case{ "removed", false }, Case{ "lapsed", true } }) {
+    Fixture running;
+    running.Set(ObjectKind::Instances, 1, { { "i-1", "ready" }, { "i-2", "ready" } });
+    running.keeper.OnStoreReachable(running.now, !testCase.storeLost);
+    running.Set(ObjectKind::Instances, 2, { { "i-2", "ready" } });
+    cr_assert(running.HasUsableInstance("i-1") == testCase.storeLost, "%s", testCase.name);
+
+    Fixture started;
+    started.keeper.OnStoreReachable(started.now, false);
+    started.keeper.OnSnapshot(
+      started.now, ObjectKind::Instances, running.keeper.Snapshot(ObjectKind::Instances));
+    cr_assert(not started.HasUsableInstance("i-1"), "%s", testCase.name);
+    cr_assert(started.HasUsableInstance("i-2"), "%s", testCase.name);
+  }
+}
+
 /// An instance whose entry says that it drains is not used, even during a store outage.
 Test(FleetKeeper, DrainingEntryIsNotKept)
 {
