--- a/include/dragonflymoor/Gateway/Tasks.h
+++ b/include/dragonflymoor/Gateway/Tasks.h
@@ -14,8 +14,8 @@
 /// refers to must outlive aContext's run. Thread-safe.
 void
 SpawnTask(boost::asio::io_context& aContext,
-          std::string aName,
-          std::function<boost::asio::awaitable<void>()> aStart);
+          const std::string& aName,
+          const std::function<boost::asio::awaitable<void>()>& aStart);
 
 /// Runs aContext until it is stopped or out of work. An exception that leaves a handler is logged,
 /// and the run goes on with the next handler.
--- a/lib/Gateway/Tasks.cpp
+++ b/lib/Gateway/Tasks.cpp
@@ -33,8 +33,8 @@
 
 void
 SpawnTask(boost::asio::io_context& aContext,
-          std::string aName,
-          std::function<boost::asio::awaitable<void>()> aStart)
+          const std::string& aName,
+          const std::function<boost::asio::awaitable<void>()>& aStart)
 {
   boost::asio::co_spawn(
     aContext,
