Log from where a VM has the fleet state

The logs did not tell on which VM another one relies, so that a VM with an old state could not be told from one that ignored a new one. Each change of the source is one line, "state source changed", with the age of the store's answer as the source states it.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -67,6 +67,8 @@
   asio::awaitable<void> Tick();
   /// Logs aMessage and passes to keeper_ whether the store is reachable.
   void ReportStoreReachable(std::string_view aMessage);
+  /// Logs where this VM has the fleet state from, when that has changed: "store" or another VM.
+  void ReportStateSource(std::string_view aSource);
   void OnStoreCallEnd(ObjectKind aKind, const std::optional<StoreError>& aError);
   StateReply MakeStateReply(const StateRequest& aRequest);
   /// PackObjects of the present state, kept until the state changes.
@@ -103,6 +105,7 @@
   bool viewChanged_ = false; ///< Whether the view changed since it was last published.
   std::vector<Vm> registeredVms_;
   bool stopping_ = false;
+  std::string stateSource_; ///< As last logged.
 };
 
 } // namespace dfm
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -192,6 +192,8 @@
   }
   if (storeFollowing_.OnStoreCallEnd(aKind, !aError))
     ReportStoreReachable(storeFollowing_.IsStoreReachable() ? "store regained" : "store lost");
+  if (!aError && !storeFollowing_.IsServedByFollower(ReadClocks().monotonic))
+    ReportStateSource("store");
 }
 
 void
@@ -203,6 +205,20 @@
   keeper_.OnStoreReachable(ReadClocks().monotonic, reachable);
 }
 
+void
+FleetSync::ReportStateSource(std::string_view aSource)
+{
+  if (aSource == stateSource_)
+    return;
+  stateSource_ = aSource;
+  const auto age = storeFollowing_.StoreAnswerAge(ReadClocks().monotonic);
+  Log(LogLevel::Info,
+      kComponent,
+      "state source changed",
+      { { "source", stateSource_ },
+        { "store_answer_age_ms", age ? std::to_string(*age / 1ms) : "-" } });
+}
+
 asio::awaitable<bool>
 FleetSync::ListObjects(ObjectKind aKind)
 {
@@ -463,6 +479,8 @@
   if (storeFollowing_.OnPeerAnswer(
         now, aPeer, aReply.storeReachable ? std::optional(aReply.answerAge) : std::nullopt))
     ReportStoreReachable("store reached through another vm");
+  if (storeFollowing_.IsServedByFollower(now))
+    ReportStateSource(aFrom.Value());
   for (const StateReply::Kind& kind : aReply.kinds) {
     if (kind.complete) {
       keeper_.OnSnapshot(now, kind.kind, kind.set);
