Report the age of the store's last answer, not whether a call has failed

Cause: a VM that follows the store for others stated that the store had answered it just now until one of its calls failed, and a watch on a connection that has fallen silent fails only after 4 s. Nobody turned to another VM before. Manifests and evacuations were late in the same way. Ruled out by the logs: a removal taken for a lapse (no such line on the late VM), and a late start of a chosen request (the attempts start within milliseconds).

A VM now reports the time since the store's last answer. Watches of instances end after 0.8 s without a change, so that an answer older than 1.3 s shows a silent store: the next follower takes over, and VMs with stale state ask the followers of all regions. A VM does not call its state steady while it is stale.

FewVmsCallAQuietOrSlowStore covers the other side.

--- a/include/dragonflymoor/Steering/StoreFollowing.h
+++ b/include/dragonflymoor/Steering/StoreFollowing.h
@@ -33,7 +33,7 @@
 
   /// A call of this VM to the store for objects of aKind ended. True when that changes
   /// IsStoreReachable().
-  bool OnStoreCallEnd(ObjectKind aKind, bool aAnswered);
+  bool OnStoreCallEnd(TimePoint aNow, ObjectKind aKind, bool aAnswered);
 
   /// Another VM answered a state request; aStoreAnswerAge is the time since the store answered that
   /// VM, or the one that serves it, and is empty when neither reaches the store. True when this VM,
@@ -66,11 +66,16 @@
   /// answers its state requests.
   bool IsServedByFollower(TimePoint aNow) const;
 
-  /// Time since the store answered this VM or the VM that serves it, as reported to others; empty
-  /// when neither reaches the store. The time adds up along a chain of VMs, so that VMs which rely
-  /// on each other soon notice the loss of the store.
+  /// Time since the store last answered this VM or the VM that serves it, as reported to others;
+  /// empty when neither reaches the store. Changes since then may be unknown here. The time adds up
+  /// along a chain of VMs, so that VMs which rely on each other soon notice the loss of the store.
   std::optional<Duration> StoreAnswerAge(TimePoint aNow) const;
 
+  /// Whether the store has not answered for longer than a watch takes, although no call has failed
+  /// yet: this VM asks the followers of all regions for newer state, or any VM when these are
+  /// faulty.
+  bool IsStateStale(TimePoint aNow) const;
+
   /// Whether this VM must list the registered VMs: followers do so for all others, which learn of
   /// them from membership.
   bool MustListVms(TimePoint aNow) const;
@@ -85,6 +90,9 @@
   /// Longest wait between two calls to a store that does not answer.
   Duration MaxRetryWait(TimePoint aNow) const;
 
+  /// How long one watch waits for a change. Each end of a watch shows that the store still answers.
+  static Duration WatchWait(ObjectKind aKind);
+
   /// Wait between two watches of one kind.
   Duration PauseBetweenWatches() const;
 
@@ -94,6 +102,8 @@
   bool IsFollower(TimePoint aNow) const;
   /// Whether another VM reported recently that the store answers.
   bool HasFreshPeerReport(TimePoint aNow) const;
+  /// Age of the store's last answer from which on the state of a VM is stale.
+  Duration MaxStoreAnswerAge() const;
   /// Position of this VM among followers_, or their number.
   size_t FollowerRank() const;
   /// Whether this VM is one of followers_, with membership settled.
@@ -117,18 +127,20 @@
   /// The VMs of the own region that the others ask, as far as this VM knows its members. The first
   /// one follows the store.
   std::vector<Vm> followers_;
+  std::vector<Vm> followersOfOtherRegions_; ///< A VM whose state is stale asks these too.
   size_t regionCount_ = 1;
   std::optional<TimePoint> membershipStartedAt_;
   std::array<bool, kObjectKindCount> lastCallAnswered_{}; ///< The last call of each kind.
   bool wasEverReachable_ = false;
-  std::optional<TimePoint> peerReportedReachableAt_;
+  std::optional<TimePoint> storeAnsweredAt_;         ///< The last call of this VM for instances.
+  std::optional<TimePoint> peerReportedReachableAt_; ///< When the store answered a peer.
   std::optional<TimePoint> lastPeerAnswer_;
   size_t failedRootRequests_ = 0;
   bool mustAskAnotherPeer_ = false;
   struct PeerFault
   {
     TimePoint at;
-    bool lostStore = false; ///< The peer answered that it has lost the store.
+    bool lostStore = false; ///< The peer has lost the store, or its state is stale.
   };
   std::map<Endpoint, PeerFault> faultsByFollower_;
   std::vector<Endpoint> delegates_; ///< Serve this VM in place of the followers or seeds.
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -15,10 +15,6 @@
 
 constexpr std::string_view kComponent = "fleet";
 
-/// How long one watch waits for changes. A dead connection is detected only after this time, so it
-/// must leave time to repeat the call within the bounds for configuration and drains.
-constexpr Duration kWatchWait = 3s;
-
 /// Wait after the first failed call. Each further failure doubles it.
 constexpr Duration kFirstRetryWait = 100ms;
 
@@ -190,9 +186,10 @@
         "store call failed",
         { { "kind", std::string(ToString(aKind)) }, { "error", aError->message } });
   }
-  if (storeFollowing_.OnStoreCallEnd(aKind, !aError))
+  const TimePoint now = ReadClocks().monotonic;
+  if (storeFollowing_.OnStoreCallEnd(now, aKind, !aError))
     ReportStoreReachable(storeFollowing_.IsStoreReachable() ? "store regained" : "store lost");
-  if (!aError && !storeFollowing_.IsServedByFollower(ReadClocks().monotonic))
+  if (!aError && !storeFollowing_.IsServedByFollower(now))
     ReportStateSource("store");
 }
 
@@ -251,7 +248,8 @@
     if (!listed) {
       listed = co_await ListObjects(aKind);
     } else {
-      auto changes = co_await store_.watch(aKind, keeper_.Snapshot(aKind).revision, kWatchWait);
+      auto changes = co_await store_.watch(
+        aKind, keeper_.Snapshot(aKind).revision, StoreFollowing::WatchWait(aKind));
       if (changes) {
         OnStoreCallEnd(aKind, std::nullopt);
         keeper_.OnChanges(ReadClocks().monotonic, aKind, changes->revision, changes->changes);
@@ -434,9 +432,9 @@
 {
   const TimePoint now = ReadClocks().monotonic;
   const auto answerAge = storeFollowing_.StoreAnswerAge(now);
-  const bool answersThisVm = answerAge == Duration{};
-  const bool steady = answersThisVm ? keeper_.IsStoreSteady(now) : keeper_.IsStoreSteadyAtPeer(now);
-  StateReply reply{ .storeSteady = answerAge && steady,
+  const bool steady = storeFollowing_.IsServedByFollower(now) ? keeper_.IsStoreSteadyAtPeer(now)
+                                                              : keeper_.IsStoreSteady(now);
+  StateReply reply{ .storeSteady = answerAge && steady && !storeFollowing_.IsStateStale(now),
                     .storeReachable = answerAge.has_value(),
                     .answerAge = answerAge.value_or(Duration{}) };
   // The delegates of a VM that has lost the store rely on it, or on those that ask it now.
--- a/lib/Steering/StoreFollowing.cpp
+++ b/lib/Steering/StoreFollowing.cpp
@@ -2,7 +2,6 @@
 
 #include "dragonflymoor/Support/Hash.h"
 #include <algorithm>
-#include <set>
 
 namespace dfm {
 
@@ -24,11 +23,21 @@
 /// sends them the state.
 constexpr Duration kMembershipSettleTime = 3s;
 
-/// A VM that asks others follows the store itself when none has reported it reachable for this
-/// long. Followers do so earlier: the others are to learn that one has taken over before their own
-/// reports expire, as otherwise all of them would call the store at the same time.
-constexpr Duration kFollowerReportLifetime = 600ms;
-constexpr Duration kPeerReportLifetime = 1200ms;
+/// How long one watch waits for a change. The watch of the instances, the kind that changes most
+/// often, shows soonest that a store has fallen silent; the others must end within the 2.5 s in
+/// which changes must be in force, in case only their connection is dead.
+constexpr Duration kInstanceWatchWait = 800ms;
+constexpr Duration kWatchWait = 1600ms;
+
+/// State is stale when the store's last answer is older than this: a watch has ended by then, with
+/// 0.2 s for a slow store and one period of the exchange between VMs.
+constexpr Duration kMaxStoreAnswerAge = 1300ms;
+
+/// A VM that asks others follows the store itself when the store's last answer to any of them is
+/// older than this. Followers do so earlier: the others are to learn that one has taken over before
+/// their own reports expire, as otherwise all of them would call the store at the same time.
+constexpr Duration kFollowerReportLifetime = 1300ms;
+constexpr Duration kPeerReportLifetime = 1900ms;
 
 /// How long followers, and the other VMs, avoid a follower that has lost the store or did not
 /// answer. One that changed between the followers often could be named as a delegate to VMs on
@@ -36,7 +45,7 @@
 constexpr Duration kFaultLifetimeOfFollowers = 2s;
 constexpr Duration kFaultLifetime = 10s;
 
-/// Added to it for a VM that asks a delegate, whose own report has some age.
+/// Added to these for a VM that asks a delegate, whose own report has some age.
 constexpr Duration kDelegatedReportLifetime = 400ms;
 
 /// How long delegates are asked before the VM that named them is asked again.
@@ -53,6 +62,18 @@
 constexpr Duration kPausePerFollower = 50ms;
 constexpr Duration kMaxPause = 400ms;
 
+/// Returns the VMs of a region that the others ask, in the order in which they follow the store.
+std::vector<Vm>
+ChooseFollowers(const RegionId& aRegion, std::vector<Vm> aVms)
+{
+  const std::string& region = aRegion.Value();
+  std::sort(aVms.begin(), aVms.end(), [&region](const Vm& aLeft, const Vm& aRight) {
+    return RendezvousWeight(region, aLeft.id.Value()) > RendezvousWeight(region, aRight.id.Value());
+  });
+  aVms.resize(std::min(aVms.size(), kFollowersPerRegion));
+  return aVms;
+}
+
 } // namespace
 
 StoreFollowing::StoreFollowing(StoreFollowingOptions aOptions)
@@ -67,26 +88,26 @@
     membershipStartedAt_ = aNow;
   liveVms_ = aLiveVms;
   followers_.clear();
-  std::set<RegionId> regions;
-  for (const Vm& vm : liveVms_) {
-    regions.insert(vm.region);
-    if (vm.region == options_.self.region)
-      followers_.push_back(vm);
+  followersOfOtherRegions_.clear();
+  std::map<RegionId, std::vector<Vm>> vmsByRegion;
+  for (const Vm& vm : liveVms_)
+    vmsByRegion[vm.region].push_back(vm);
+  for (auto& [region, vms] : vmsByRegion) {
+    std::vector<Vm> followers = ChooseFollowers(region, std::move(vms));
+    std::vector<Vm>& known = region == options_.self.region ? followers_ : followersOfOtherRegions_;
+    known.insert(known.end(), followers.begin(), followers.end());
   }
-  const std::string& region = options_.self.region.Value();
-  std::sort(followers_.begin(), followers_.end(), [&region](const Vm& aLeft, const Vm& aRight) {
-    return RendezvousWeight(region, aLeft.id.Value()) > RendezvousWeight(region, aRight.id.Value());
-  });
-  followers_.resize(std::min(followers_.size(), kFollowersPerRegion));
   std::erase_if(faultsByFollower_,
                 [aNow](const auto& aEntry) { return aNow - aEntry.second.at >= kFaultLifetime; });
-  regionCount_ = std::max<size_t>(regions.size(), 1);
+  regionCount_ = std::max<size_t>(vmsByRegion.size(), 1);
 }
 
 bool
-StoreFollowing::OnStoreCallEnd(ObjectKind aKind, bool aAnswered)
+StoreFollowing::OnStoreCallEnd(TimePoint aNow, ObjectKind aKind, bool aAnswered)
 {
   const bool wasReachable = IsStoreReachable();
+  if (aAnswered && aKind == ObjectKind::Instances)
+    storeAnsweredAt_ = aNow;
   lastCallAnswered_[static_cast<size_t>(aKind)] = aAnswered;
   wasEverReachable_ = wasEverReachable_ || IsStoreReachable();
   return wasReachable != IsStoreReachable();
@@ -99,7 +120,11 @@
 {
   lastPeerAnswer_ = aNow;
   mustAskAnotherPeer_ = false;
-  if (!aStoreAnswerAge) {
+  if (aStoreAnswerAge) {
+    const TimePoint answeredAt = aNow - *aStoreAnswerAge;
+    peerReportedReachableAt_ = std::max(peerReportedReachableAt_.value_or(answeredAt), answeredAt);
+  }
+  if (!aStoreAnswerAge || *aStoreAnswerAge >= MaxStoreAnswerAge()) {
     RotatePeers(aPeer);
     const bool isNew = !HasRecentFault(aNow, aPeer);
     faultsByFollower_[aPeer] = { .at = aNow, .lostStore = true };
@@ -107,8 +132,6 @@
     return false;
   }
   faultsByFollower_.erase(aPeer);
-  const TimePoint answeredAt = aNow - *aStoreAnswerAge;
-  peerReportedReachableAt_ = std::max(peerReportedReachableAt_.value_or(answeredAt), answeredAt);
   if (wasEverReachable_)
     return false;
   wasEverReachable_ = true;
@@ -224,12 +247,26 @@
   return peerReportedReachableAt_ && aNow - *peerReportedReachableAt_ < lifetime;
 }
 
+Duration
+StoreFollowing::MaxStoreAnswerAge() const
+{
+  return kMaxStoreAnswerAge + (delegates_.empty() ? Duration{} : kDelegatedReportLifetime);
+}
+
 std::optional<Duration>
 StoreFollowing::StoreAnswerAge(TimePoint aNow) const
 {
   if (!IsStoreReachable())
     return std::nullopt;
-  return IsServedByFollower(aNow) ? aNow - *peerReportedReachableAt_ : Duration{};
+  const auto answeredAt = std::max(storeAnsweredAt_, peerReportedReachableAt_);
+  return answeredAt ? std::optional(aNow - *answeredAt) : std::nullopt;
+}
+
+bool
+StoreFollowing::IsStateStale(TimePoint aNow) const
+{
+  const auto age = StoreAnswerAge(aNow);
+  return age && *age >= MaxStoreAnswerAge();
 }
 
 bool
@@ -253,6 +290,18 @@
     for (const Vm& vm : aVms)
       peers.push_back(vm.peers);
   };
+  const bool membersKnown = liveVms_.size() > 1;
+  if (membersKnown && IsStateStale(aNow)) {
+    add(followers_);
+    add(followersOfOtherRegions_);
+    std::erase_if(peers, [this, aNow](const Endpoint& aPeer) {
+      return aPeer == options_.self.peers || HasRecentFault(aNow, aPeer);
+    });
+    if (peers.empty())
+      add(liveVms_);
+    std::erase(peers, options_.self.peers);
+    return peers;
+  }
   if (IsStoreReachable()) {
     if (IsFollower(aNow))
       return {};
@@ -319,7 +368,7 @@
 bool
 StoreFollowing::MayBeRedirected(TimePoint aNow) const
 {
-  return (IsStoreReachable() && !MayFollow(aNow)) || IsWaitingForSeeds(aNow);
+  return (IsStoreReachable() && !IsStateStale(aNow) && !MayFollow(aNow)) || IsWaitingForSeeds(aNow);
 }
 
 Duration
@@ -328,6 +377,12 @@
   return IsFollower(aNow) ? kMaxFollowerRetryWait : kMaxNonFollowerRetryWait;
 }
 
+Duration
+StoreFollowing::WatchWait(ObjectKind aKind)
+{
+  return aKind == ObjectKind::Instances ? kInstanceWatchWait : kWatchWait;
+}
+
 Duration
 StoreFollowing::PauseBetweenWatches() const
 {
--- a/unittests/Steering/StoreFollowingTest.cpp
+++ b/unittests/Steering/StoreFollowingTest.cpp
@@ -1,8 +1,10 @@
 #include "dragonflymoor/Steering/StoreFollowing.h"
 #include "dragonflymoor/Steering/StateDelegation.h"
+#include "dragonflymoor/Support/Hash.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <numeric>
 #include <rapidcheck.h>
 #include <set>
 
@@ -16,6 +18,8 @@
 constexpr Duration kDetection = 1500ms;
 /// Time within which an operator's change must be in force at every VM.
 constexpr Duration kInForce = 2500ms;
+/// A call on a connection on which the store has fallen silent fails after this time at the latest.
+constexpr Duration kSilentCallTime = 4s;
 
 struct RegionOptions
 {
@@ -24,6 +28,9 @@
   size_t domains = 1;
   size_t maxAskersOfOwnDomain = 24;
   size_t maxAskersOfOtherDomains = 2;
+  /// Time that the store takes to answer a watch after a change or the end of its wait.
+  Duration storeLatency{};
+  bool quiet = false; ///< No object changes, so that each watch waits to its end.
 };
 
 /// VMs of one region in virtual time, with a store whose revision is the time of its last change.
@@ -65,6 +72,12 @@
   }
   /// Makes the store refuse the calls of this VM, or accept them again.
   void Refuse(size_t aNode, bool aRefuse) { nodes_[aNode].refused = aRefuse; }
+  /// Makes the store ignore the calls of this VM, of which one is under way.
+  void Silence(size_t aNode)
+  {
+    Refuse(aNode, true);
+    nodes_[aNode].nextCallTime = now_ + kSilentCallTime;
+  }
 
   /// Returns the age of the store state known to the live VM with the oldest one. VMs that started
   /// less than kInForce ago are not counted.
@@ -100,6 +113,17 @@
     });
     return static_cast<size_t>(found - nodes_.begin());
   }
+  /// The VMs in the order in which they follow the store for the others.
+  std::vector<size_t> Followers() const
+  {
+    std::vector<size_t> order(nodes_.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [this](size_t aLeft, size_t aRight) {
+      return RendezvousWeight("north", nodes_[aLeft].vm.id.Value()) >
+             RendezvousWeight("north", nodes_[aRight].vm.id.Value());
+    });
+    return order;
+  }
   unsigned CallCount() const { return calls_; }
   /// Number of VMs with the state.
   size_t InformedCount() const
@@ -224,8 +248,11 @@
   {
     ++calls_;
     for (size_t i = 0; i < kObjectKindCount; ++i)
-      aNode.following->OnStoreCallEnd(static_cast<ObjectKind>(i), !aNode.refused);
-    aNode.nextCallTime = now_ + (aNode.refused ? aNode.following->MaxRetryWait(now_) : kStep);
+      aNode.following->OnStoreCallEnd(now_, static_cast<ObjectKind>(i), !aNode.refused);
+    const Duration watchTime =
+      options_.quiet ? StoreFollowing::WatchWait(ObjectKind::Instances) : kStep;
+    aNode.nextCallTime = now_ + (aNode.refused ? aNode.following->MaxRetryWait(now_)
+                                               : watchTime + options_.storeLatency);
     if (!aNode.refused)
       aNode.knownStoreTime = now_;
   }
@@ -315,6 +342,46 @@
   }
 }
 
+/// Guards against requests to instances that have left, and against old manifests: a VM that
+/// follows the store for others passed on its state as current while it waited for an answer of a
+/// store that had fallen silent.
+Test(StoreFollowing, ChangesReachEveryVmWhenTheStoreFallsSilentToItsFollowers)
+{
+  for (const size_t silenced : { 1, 2, 3 }) {
+    for (const size_t vms : { 5, 26, 98 }) {
+      Region region({ .vms = vms, .domains = 3 });
+      region.Run(8s);
+      std::set<size_t> silent;
+      for (const size_t follower : region.Followers()) {
+        if (silent.size() < silenced)
+          silent.insert(follower);
+      }
+      for (const size_t follower : silent)
+        region.Silence(follower);
+      for (int step = 0; step < 200; ++step) {
+        region.Run(kStep);
+        cr_assert(region.Lag() <= kInForce, "%zu of %zu vms, step %d", silenced, vms, step);
+      }
+    }
+  }
+}
+
+/// Guards against VMs that take a store without changes, or a slow one, for a silent one and call
+/// it themselves.
+Test(StoreFollowing, FewVmsCallAQuietOrSlowStore)
+{
+  for (const Duration latency : { 0ms, 200ms }) {
+    for (const size_t vms : { 5, 9, 98 }) {
+      Region region({ .vms = vms, .domains = 3, .storeLatency = latency, .quiet = true });
+      region.Run(8s);
+      for (int step = 0; step < 200; ++step) {
+        region.Run(kStep);
+        cr_assert(region.StoreCallerCount() == 1, "%zu vms, step %d", vms, step);
+      }
+    }
+  }
+}
+
 /// Guards against two VMs that each take the other's word for being up to date with the store, so
 /// that neither calls it.
 Test(StoreFollowing, VmsDoNotRelyOnEachOther)
