Drop lapsed instances once the store has returned for another VM

A VM that stays without the store went on sending requests to instances that were gone. It had learnt of their removal from a VM to which the store had returned less than 2.2 s before, so that the entries counted as lapsed, and lapsed entries ended only when its own calls succeeded: DRAIN for as long as the store refuses this VM alone.

Lapsed entries now also end when another VM reports its store steady: what it has not named again by then is gone. FleetKeeper/ LapsedEntriesEndWhenTheStoreHasReturnedForOthers failed before: the instance was still used after that report.

--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -219,12 +219,14 @@
 bool
 FleetKeeper::OnTick(TimePoint aNow)
 {
-  if (!storeReachable_)
+  // What another VM with a steady store has not named again is gone.
+  const bool steadyAtPeer = IsStoreSteadyAtPeer(aNow);
+  if (!storeReachable_ && !steadyAtPeer)
     return false;
   bool removed = false;
   for (auto name = lapsed_.begin(); name != lapsed_.end();) {
     const auto entry = instances_.find(*name);
-    if (aNow < *entry->second.removeAt) {
+    if (!steadyAtPeer && aNow < *entry->second.removeAt) {
       ++name;
       continue;
     }
--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -164,6 +164,27 @@
   cr_assert(not fixture.HasUsableInstance("i-1"));
 }
 
+/// Guards against requests to instances that are gone from a VM that stays without the store: it
+/// learnt of their removal from a VM to which the store had just returned, and kept them until its
+/// own calls succeeded.
+Test(FleetKeeper, LapsedEntriesEndWhenTheStoreHasReturnedForOthers)
+{
+  Fixture fixture;
+  fixture.Set(ObjectKind::Instances, 1, { { "i-1", "ready" }, { "i-2", "ready" } });
+  fixture.keeper.OnStoreReachable(fixture.now, false);
+  fixture.keeper.OnPeerStoreStatus(fixture.now, false);
+  fixture.Set(ObjectKind::Instances, 2, {});
+  fixture.Advance(1s);
+  cr_assert(fixture.HasUsableInstance("i-1") && fixture.HasUsableInstance("i-2"));
+  fixture.Set(ObjectKind::Instances, 3, { { "i-2", "ready" } });
+  fixture.Advance(1s);
+  cr_assert(fixture.HasUsableInstance("i-1"));
+  fixture.keeper.OnPeerStoreStatus(fixture.now, true);
+  fixture.Advance(50ms);
+  cr_assert(not fixture.HasUsableInstance("i-1"));
+  cr_assert(fixture.HasUsableInstance("i-2"));
+}
+
 /// Guards against views that copy all instances, and make the dispatcher take all of them over,
 /// with each change of the fleet's members: with hundreds of VMs some member changes all the time.
 Test(FleetKeeper, ViewsShareTheInstancesUntilOneChanges)
