Share the rate that an instance takes between all VMs

Cause: no code read the rate. Ruled out by the timeline: VMs that each keep the limit (one VM alone was at twice the limit), and retries (first attempts). The class is that of the header on leaving: what an instance says of itself in its answers was discarded.

The rate is part of InstanceStatement. RateClaim holds this VM's part of it, and load reports carry the claims, so that the parts follow the demand: most requests for an instance come from one VM. A value that is no finite number from 0 on changes nothing and is counted.

Statements/InstanceGetsNoMoreRequestsThanItStates failed before (19,446 requests in 4 s at 5 a second) and passes.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -168,16 +168,18 @@
   void OnProbe(TimePoint aNow, const BackendId& aInstance, ProbeResult aResult, Duration aColdLeft);
   /// An answer of aRun to this VM had aStatement. To be called before OnAttemptEnd or OnProbe, so
   /// that requests which start then take it into account. True when it says something new.
-  bool OnInstanceStatement(const InstanceRun& aRun, const InstanceStatement& aStatement);
+  bool OnInstanceStatement(TimePoint aNow,
+                           const InstanceRun& aRun,
+                           const InstanceStatement& aStatement);
   void OnPeerLoad(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad);
   void OnCrashReport(TimePoint aNow, const CrashReport& aReport);
   /// To be called every 10 ms while a request waits, otherwise every 50 ms.
   void OnTick(TimePoint aNow);
 
-  /// Requests of this VM at each instance; instances without any are left out.
-  std::vector<InstanceLoad> OwnLoad() const;
+  /// Requests and claims of this VM at each instance; instances without any are left out.
+  std::vector<InstanceLoad> OwnLoad(TimePoint aNow) const;
   /// Requests of all VMs of the own failure domain at each instance, by their latest reports.
-  std::vector<InstanceLoad> DomainLoad() const;
+  std::vector<InstanceLoad> DomainLoad(TimePoint aNow) const;
   size_t WaitingCount() const;
   size_t InFlightCount() const;
   /// Delay after which a caller may come back that was refused although no service is overloaded.
@@ -318,6 +320,11 @@
   /// changed.
   void UpdateIndexes(TimePoint aNow, InstanceTracker& aInstance);
   double ColdRateFor(const Instance& aInstance) const;
+  /// Where this VM stands among the VMs of the instance's region, or among all VMs when it is in
+  /// another region.
+  VmRank RankFor(const Instance& aInstance) const;
+  /// Adapts the claims of the rates that instances take.
+  void UpdateClaims(TimePoint aNow);
 
   DispatcherOptions options_;
   DispatcherHooks hooks_;
@@ -327,9 +334,10 @@
   std::unordered_map<uint32_t, InstanceTracker*> trackersByLoadKey_;
   // Most instances have no request of this VM, are healthy and warm, so the periodic checks pass
   // over the others only. The indexes are by the hash of the id.
-  std::map<uint64_t, InstanceTracker*> instancesInUse_; ///< Have requests of this VM in flight.
-  std::map<uint64_t, InstanceTracker*> instancesDown_;  ///< Get health checks.
-  std::map<uint64_t, InstanceTracker*> instancesCold_;  ///< Were cold at their last change.
+  std::map<uint64_t, InstanceTracker*> instancesInUse_;   ///< Have requests of this VM in flight.
+  std::map<uint64_t, InstanceTracker*> instancesDown_;    ///< Get health checks.
+  std::map<uint64_t, InstanceTracker*> instancesCold_;    ///< Were cold at their last change.
+  std::map<uint64_t, InstanceTracker*> instancesLimited_; ///< Stated a rate that they take.
   LeavingRuns leavingRuns_;
   PeerLoads peerLoads_;
   std::set<VmId> otherVmsInDomain_;
@@ -341,6 +349,7 @@
   CrashRegistry crashes_;
   TimePoint nextBalance_;
   TimePoint nextSilenceCheck_;
+  TimePoint nextClaimUpdate_;
 };
 
 } // namespace dfm
--- a/include/dragonflymoor/Steering/InstanceStatement.h
+++ b/include/dragonflymoor/Steering/InstanceStatement.h
@@ -4,6 +4,7 @@
 #include "dragonflymoor/Model/Fleet.h"
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace dfm {
 
@@ -11,6 +12,11 @@
 struct InstanceStatement
 {
   bool leaving = false; ///< It wants no new request in this run.
+  /// Requests a second that it takes from all VMs together while it states so; empty for any
+  /// number.
+  std::optional<double> maxRequestsPerSecond;
+  /// A value could not be read; what is known from earlier statements still holds.
+  bool malformed = false;
 
   auto operator<=>(const InstanceStatement&) const = default;
 };
--- a/include/dragonflymoor/Steering/InstanceTracker.h
+++ b/include/dragonflymoor/Steering/InstanceTracker.h
@@ -3,6 +3,7 @@
 
 #include "dragonflymoor/Shares/TokenBucket.h"
 #include "dragonflymoor/Steering/FleetView.h"
+#include "dragonflymoor/Steering/RateClaim.h"
 #include "dragonflymoor/Support/Time.h"
 #include <optional>
 #include <string_view>
@@ -17,9 +18,10 @@
   Draining, ///< By its registration.
   Leaving,  ///< By its own statement.
   Evacuated,
-  Down, ///< Connects failed, connections broke or answers stopped; lasts until a health check
-        ///< passes.
-  Cold, ///< The VM's part of its cold rate is used up.
+  Down,    ///< Connects failed, connections broke or answers stopped; lasts until a health check
+           ///< passes.
+  Cold,    ///< The VM's part of its cold rate is used up.
+  Limited, ///< The VM's part of the rate that the instance takes is used up.
   Full,
 };
 
@@ -57,6 +59,12 @@
   /// Rate, per second, at which this VM may send requests while the instance is cold.
   void SetColdRate(TimePoint aNow, double aPerSecond);
 
+  /// The part of the instance's stated rate that this VM uses.
+  RateClaim& Rate() { return rate_; }
+  const RateClaim& Rate() const { return rate_; }
+  /// Requests that the instance can serve at once, at the rate that it takes.
+  unsigned ServableSlots(TimePoint aNow) const;
+
   /// Whether and why the instance must not get a request now, slots aside.
   Unusable UnusableReasonAt(TimePoint aNow) const;
   /// Slots that no known request uses; negative when it is overfull.
@@ -111,6 +119,7 @@
   mutable TokenBucket coldBucket_;
   mutable std::optional<TimePoint> lastColdRefill_;
   double coldRate_ = 0;
+  RateClaim rate_;
   double failureShare_ = 0;  ///< Moving mean over answers.
   unsigned answerCount_ = 0; ///< Since the start of the run, bounded.
   Duration meanLatency_{};
--- a/include/dragonflymoor/Steering/PeerLoads.h
+++ b/include/dragonflymoor/Steering/PeerLoads.h
@@ -18,10 +18,18 @@
 {
   uint32_t instance = 0; ///< Low half of the hash of the instance's id.
   uint16_t inFlight = 0;
+  /// The part that the VM claims of the rate which the instance takes, in tenths of a request a
+  /// second; 0 at an instance without a limit.
+  uint16_t claim = 0;
 
   auto operator<=>(const InstanceLoad&) const = default;
 };
 
+/// Returns InstanceLoad::claim for a claim in requests a second, rounded up. Safe to call from any
+/// thread.
+uint16_t
+EncodeClaim(double aPerSecond);
+
 /// Report of the requests in flight of one VM, or of all VMs of a failure domain, sent to other VMs
 /// over UDP.
 struct PeerLoad
@@ -53,7 +61,9 @@
   std::vector<uint32_t> DropExpired(TimePoint aNow);
 
   /// Number of requests that all other VMs together have in flight at aInstance.
-  unsigned InFlightAt(uint32_t aInstance) const;
+  unsigned InFlightAt(uint32_t aInstance) const { return SumsAt(aInstance).inFlight; }
+  /// Requests a second that all other VMs together claim of the rate of aInstance.
+  double ClaimsAt(uint32_t aInstance) const;
 
   /// Adds the latest reports of aVms to aOwn, the requests of this VM. The result is in order of
   /// the instances.
@@ -64,10 +74,21 @@
   struct Report
   {
     TimePoint expiresAt;
-    /// In order of the instances, one entry for each, none without requests.
+    /// In order of the instances, one entry for each, none without requests or claim.
     std::vector<InstanceLoad> loads;
   };
 
+  /// What all other VMs together have at one instance.
+  struct Sums
+  {
+    unsigned inFlight = 0;
+    unsigned claims = 0; ///< In tenths of a request a second.
+
+    auto operator<=>(const Sums&) const = default;
+  };
+
+  Sums SumsAt(uint32_t aInstance) const;
+
   /// Replaces aOld by aNew in the sums and appends the instances whose sum has changed to aChanged.
   /// Precondition: both are in the form of Report::loads.
   void ReplaceLoads(const std::vector<InstanceLoad>& aOld,
@@ -75,7 +96,7 @@
                     std::vector<uint32_t>& aChanged);
 
   std::map<LoadSource, Report> reportsBySource_;
-  std::unordered_map<uint32_t, unsigned> inFlightByInstance_;
+  std::unordered_map<uint32_t, Sums> sumsByInstance_;
 };
 
 } // namespace dfm
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -132,8 +132,8 @@
       trafficContext,
       settings.self,
       LoadExchangeHooks{
-        .readOwnLoad = [this] { return dispatcher.OwnLoad(); },
-        .readDomainLoad = [this] { return dispatcher.DomainLoad(); },
+        .readOwnLoad = [this] { return dispatcher.OwnLoad(ReadClocks().monotonic); },
+        .readDomainLoad = [this] { return dispatcher.DomainLoad(ReadClocks().monotonic); },
         .messageReceived = [this](const PeerEnvelope& aEnvelope) { OnPeerMessage(aEnvelope); },
       })
   , fleetSync(controlContext,
@@ -240,7 +240,9 @@
 void
 Gateway::Impl::OnInstanceStatement(const InstanceRun& aRun, const InstanceStatement& aStatement)
 {
-  if (!dispatcher.OnInstanceStatement(aRun, aStatement))
+  if (aStatement.malformed)
+    metrics.Count("instance-statements-malformed");
+  if (!dispatcher.OnInstanceStatement(ReadClocks().monotonic, aRun, aStatement))
     return;
   metrics.Count("instance-statements");
   Log(LogLevel::Info,
@@ -248,7 +250,10 @@
       "instance stated",
       { { "instance", aRun.instance.Value() },
         { "born_ms", std::to_string(aRun.startTimeMs) },
-        { "leaving", aStatement.leaving ? "1" : "0" } });
+        { "leaving", aStatement.leaving ? "1" : "0" },
+        { "max_per_s",
+          aStatement.maxRequestsPerSecond ? fmt::format("{}", *aStatement.maxRequestsPerSecond)
+                                          : "-" } });
 }
 
 Page
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -36,6 +36,9 @@
 
 constexpr Duration kSilenceCheckPeriod = 50ms;
 
+/// Period at which the claims of the rates that instances take follow the demand.
+constexpr Duration kClaimUpdatePeriod = 100ms;
+
 /// Weight of the latest answer in a service's moving mean latency, which thus covers some dozens of
 /// answers.
 constexpr double kLatencyWeight = 0.03;
@@ -349,15 +352,40 @@
 }
 
 bool
-Dispatcher::OnInstanceStatement(const InstanceRun& aRun, const InstanceStatement& aStatement)
+Dispatcher::OnInstanceStatement(TimePoint aNow,
+                                const InstanceRun& aRun,
+                                const InstanceStatement& aStatement)
 {
-  if (!aStatement.leaving || !leavingRuns_.Add(aRun))
-    return false;
+  bool isNew = aStatement.leaving && leavingRuns_.Add(aRun);
   InstanceTracker* const instance = FindInstance(aRun.instance);
   // The answer may come from an earlier run.
-  if (instance != nullptr && instance->Spec().startTimeMs == aRun.startTimeMs)
+  if (instance == nullptr || instance->Spec().startTimeMs != aRun.startTimeMs)
+    return isNew;
+  if (isNew)
     instance->SetLeaving(true);
-  return true;
+  if (!aStatement.malformed || aStatement.maxRequestsPerSecond)
+    isNew = instance->Rate().OnStatement(aNow, aStatement.maxRequestsPerSecond) || isNew;
+  UpdateIndexes(aNow, *instance);
+  return isNew;
+}
+
+void
+Dispatcher::UpdateClaims(TimePoint aNow)
+{
+  if (aNow < nextClaimUpdate_)
+    return;
+  nextClaimUpdate_ = aNow + kClaimUpdatePeriod;
+  for (const auto& [hash, instance] : instancesLimited_) {
+    VmRank rank = RankFor(instance->Spec());
+    const RegionId& region = instance->Spec().region;
+    // The VMs of the instance's region come first.
+    if (region != options_.region)
+      rank.rank += static_cast<size_t>(
+        std::count_if(view_->knownVms.begin(), view_->knownVms.end(), [&region](const Vm& aVm) {
+          return aVm.region == region;
+        }));
+    instance->Rate().Update(aNow, rank);
+  }
 }
 
 void
@@ -373,8 +401,10 @@
 {
   for (const uint32_t hash : aInstances) {
     const auto instance = trackersByLoadKey_.find(hash);
-    if (instance != trackersByLoadKey_.end())
-      instance->second->SetPeerInFlight(peerLoads_.InFlightAt(hash));
+    if (instance == trackersByLoadKey_.end())
+      continue;
+    instance->second->SetPeerInFlight(peerLoads_.InFlightAt(hash));
+    instance->second->Rate().SetPeerClaims(peerLoads_.ClaimsAt(hash));
   }
 }
 
@@ -428,26 +458,35 @@
     SendDueProbes(aNow);
   }
   BalanceRegions(aNow);
+  UpdateClaims(aNow);
   for (const auto& [service, state] : services_)
     StartWaitingRequests(aNow, service);
   RefuseExpiredRequests(aNow);
 }
 
 std::vector<InstanceLoad>
-Dispatcher::OwnLoad() const
+Dispatcher::OwnLoad(TimePoint aNow) const
 {
   std::vector<InstanceLoad> loads;
   loads.reserve(instancesInUse_.size());
+  const auto add = [&loads, aNow](const InstanceTracker& aInstance) {
+    loads.push_back({ .instance = aInstance.LoadKey(),
+                      .inFlight = static_cast<uint16_t>(aInstance.OwnInFlight()),
+                      .claim = EncodeClaim(aInstance.Rate().ReportedClaim(aNow)) });
+  };
   for (const auto& [hash, instance] : instancesInUse_)
-    loads.push_back({ .instance = instance->LoadKey(),
-                      .inFlight = static_cast<uint16_t>(instance->OwnInFlight()) });
+    add(*instance);
+  for (const auto& [hash, instance] : instancesLimited_) {
+    if (!instancesInUse_.contains(hash) && instance->Rate().ReportedClaim(aNow) > 0)
+      add(*instance);
+  }
   return loads;
 }
 
 std::vector<InstanceLoad>
-Dispatcher::DomainLoad() const
+Dispatcher::DomainLoad(TimePoint aNow) const
 {
-  return peerLoads_.AddReportsOf(otherVmsInDomain_, OwnLoad());
+  return peerLoads_.AddReportsOf(otherVmsInDomain_, OwnLoad(aNow));
 }
 
 size_t
--- a/lib/Steering/FleetChanges.cpp
+++ b/lib/Steering/FleetChanges.cpp
@@ -24,6 +24,7 @@
   if (tracker == nullptr) {
     tracker = std::make_unique<InstanceTracker>(aInstance);
     tracker->SetPeerInFlight(peerLoads_.InFlightAt(tracker->LoadKey()));
+    tracker->Rate().SetPeerClaims(peerLoads_.ClaimsAt(tracker->LoadKey()));
     trackersByLoadKey_[tracker->LoadKey()] = tracker.get();
     AddCandidate(*tracker);
   } else {
@@ -54,7 +55,8 @@
   const auto byLoadKey = trackersByLoadKey_.find(tracker.LoadKey());
   if (byLoadKey != trackersByLoadKey_.end() && byLoadKey->second == &tracker)
     trackersByLoadKey_.erase(byLoadKey);
-  for (auto* const index : { &instancesInUse_, &instancesDown_, &instancesCold_ })
+  for (auto* const index :
+       { &instancesInUse_, &instancesDown_, &instancesCold_, &instancesLimited_ })
     index->erase(tracker.IdHash());
   trackers_.erase(found);
 }
@@ -125,6 +127,7 @@
   update(instancesInUse_, aInstance.OwnInFlight() > 0);
   update(instancesDown_, aInstance.NextProbeTime().has_value());
   update(instancesCold_, aInstance.IsCold(aNow));
+  update(instancesLimited_, aInstance.Rate().Limit().has_value());
 }
 
 } // namespace dfm
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -69,21 +69,28 @@
   // VMs of the instance's region divide its rate; a VM elsewhere sends to it only when it has no
   // other choice, and takes the part that it would have if all VMs did.
   const double rate = kColdRateShare * service->second.coldRequestsPerSecond;
+  const VmRank rank = RankFor(aInstance);
+  // Each VM may accumulate a token for one request, so many VMs with a small part each would
+  // together exceed the rate.
+  const auto maxSharingVms = static_cast<size_t>(std::max(1.0, rate / kMinColdRatePerVm));
+  const size_t sharingVms = std::min(rank.vms, maxSharingVms);
+  return rank.rank < sharingVms ? rate / static_cast<double>(sharingVms) : 0;
+}
+
+VmRank
+Dispatcher::RankFor(const Instance& aInstance) const
+{
   const bool own = options_.region == aInstance.region;
   const uint64_t ownWeight = RendezvousWeight(aInstance.id.Value(), options_.self.Value());
-  size_t sharingVms = 0;
-  size_t higherWeightVms = 0;
+  VmRank rank{ .vms = 0 };
   for (const Vm& vm : view_->knownVms) {
     if (own && vm.region != aInstance.region)
       continue;
-    ++sharingVms;
-    higherWeightVms += RendezvousWeight(aInstance.id.Value(), vm.id.Value()) > ownWeight ? 1 : 0;
+    ++rank.vms;
+    rank.rank += RendezvousWeight(aInstance.id.Value(), vm.id.Value()) > ownWeight ? 1 : 0;
   }
-  // Each VM may accumulate a token for one request, so many VMs with a small part each would
-  // together exceed the rate.
-  const auto maxSharingVms = static_cast<size_t>(std::max(1.0, rate / kMinColdRatePerVm));
-  sharingVms = std::clamp<size_t>(sharingVms, 1, maxSharingVms);
-  return higherWeightVms < sharingVms ? rate / static_cast<double>(sharingVms) : 0;
+  rank.vms = std::max<size_t>(rank.vms, 1);
+  return rank;
 }
 
 bool
@@ -92,7 +99,7 @@
   return std::any_of(
     aCandidates.list.begin(), aCandidates.list.end(), [&](const Candidate& aCandidate) {
       const Unusable why = aCandidate.tracker->UnusableReasonAt(aNow);
-      return why == Unusable::None || why == Unusable::Cold;
+      return why == Unusable::None || why == Unusable::Cold || why == Unusable::Limited;
     });
 }
 
@@ -110,9 +117,13 @@
     spread != aState.spreads.end() && spread->second.use > RegionSpread::kShortOfSlots;
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.list.size());
+  std::vector<std::pair<InstanceTracker*, uint64_t>> limited;
   for (const Candidate& candidate : candidates.list) {
     InstanceTracker* const state = candidate.tracker;
-    if (state->UnusableReasonAt(aNow) != Unusable::None)
+    const Unusable why = state->UnusableReasonAt(aNow);
+    if (why == Unusable::Limited)
+      limited.emplace_back(state, MixHash(aRequest.key, candidate.hash));
+    if (why != Unusable::None)
       continue;
     if (std::find(aRequest.tried.begin(), aRequest.tried.end(), state->Spec().id) !=
         aRequest.tried.end())
@@ -127,6 +138,11 @@
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
     return aLeft.weight > aRight.weight;
   });
+  for (const auto& [state, weight] : limited) {
+    const bool isHome = ranked.empty() || weight > ranked.front().weight;
+    if (isHome)
+      state->Rate().OnDenied(aNow);
+  }
   MarkHomes(ranked, candidates.domains.size(), onePerRegion);
   std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
     if (aLeft.degraded != aRight.degraded)
--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -3,6 +3,7 @@
 #include "Scale.h"
 #include "dragonflymoor/Support/Hash.h"
 #include <algorithm>
+#include <cmath>
 
 namespace dfm {
 
@@ -63,6 +64,8 @@
       return "down";
     case Unusable::Cold:
       return "cold";
+    case Unusable::Limited:
+      return "limited";
     case Unusable::Full:
       return "full";
   }
@@ -128,9 +131,20 @@
     if (coldBucket_.Tokens() < 1)
       return Unusable::Cold;
   }
+  if (!rate_.MaySend(aNow))
+    return Unusable::Limited;
   return Unusable::None;
 }
 
+unsigned
+InstanceTracker::ServableSlots(TimePoint aNow) const
+{
+  if (!rate_.IsLimited(aNow) || meanLatency_ <= Duration{})
+    return spec_.slots;
+  const double atOnce = std::ceil(*rate_.Limit() * ToSeconds(meanLatency_));
+  return atOnce < spec_.slots ? static_cast<unsigned>(atOnce) : spec_.slots;
+}
+
 int
 InstanceTracker::FreeSlots(TimePoint aNow) const
 {
@@ -156,6 +170,7 @@
     if (coldBucket_.Tokens() >= 1)
       coldBucket_.Take(1);
   }
+  rate_.OnSend(aNow);
   if (inFlight_ == 0)
     lastResponseTime_ = aNow;
   ++inFlight_;
--- a/lib/Steering/PeerLoads.cpp
+++ b/lib/Steering/PeerLoads.cpp
@@ -1,12 +1,17 @@
 #include "dragonflymoor/Steering/PeerLoads.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace dfm {
 
 namespace {
 
-/// Returns aLoads in order of the instances, with one entry for each that has requests.
+/// Claims are reported in this many parts of a request a second.
+constexpr double kClaimParts = 10;
+
+/// Returns aLoads in order of the instances, with one entry for each that has requests or a claim.
 std::vector<InstanceLoad>
 Normalize(std::vector<InstanceLoad> aLoads)
 {
@@ -15,12 +20,14 @@
   std::vector<InstanceLoad> loads;
   loads.reserve(aLoads.size());
   for (const InstanceLoad& load : aLoads) {
-    if (load.inFlight == 0)
+    if (load.inFlight == 0 && load.claim == 0)
       continue;
-    if (!loads.empty() && loads.back().instance == load.instance)
+    if (!loads.empty() && loads.back().instance == load.instance) {
       loads.back().inFlight += load.inFlight;
-    else
+      loads.back().claim += load.claim;
+    } else {
       loads.push_back(load);
+    }
   }
   return loads;
 }
@@ -40,14 +47,15 @@
     const bool isGone =
       after == aNew.end() || (before != aOld.end() && before->instance < after->instance);
     const uint32_t instance = isNew ? after->instance : before->instance;
-    const unsigned removed = isNew ? 0 : (before++)->inFlight;
-    const unsigned added = isGone ? 0 : (after++)->inFlight;
-    if (removed == added)
+    const InstanceLoad removed = isNew ? InstanceLoad{} : *before++;
+    const InstanceLoad added = isGone ? InstanceLoad{} : *after++;
+    if (removed.inFlight == added.inFlight && removed.claim == added.claim)
       continue;
-    unsigned& sum = inFlightByInstance_[instance];
-    sum = sum + added - removed;
-    if (sum == 0)
-      inFlightByInstance_.erase(instance);
+    Sums& sums = sumsByInstance_[instance];
+    sums.inFlight = sums.inFlight + added.inFlight - removed.inFlight;
+    sums.claims = sums.claims + added.claim - removed.claim;
+    if (sums == Sums{})
+      sumsByInstance_.erase(instance);
     aChanged.push_back(instance);
   }
 }
@@ -79,20 +87,37 @@
   return changed;
 }
 
-unsigned
-PeerLoads::InFlightAt(uint32_t aInstance) const
+PeerLoads::Sums
+PeerLoads::SumsAt(uint32_t aInstance) const
+{
+  const auto sums = sumsByInstance_.find(aInstance);
+  return sums == sumsByInstance_.end() ? Sums{} : sums->second;
+}
+
+double
+PeerLoads::ClaimsAt(uint32_t aInstance) const
 {
-  const auto sum = inFlightByInstance_.find(aInstance);
-  return sum == inFlightByInstance_.end() ? 0 : sum->second;
+  return SumsAt(aInstance).claims / kClaimParts;
+}
+
+uint16_t
+EncodeClaim(double aPerSecond)
+{
+  const double parts = std::ceil(aPerSecond * kClaimParts);
+  return static_cast<uint16_t>(std::clamp<double>(parts, 0, std::numeric_limits<uint16_t>::max()));
 }
 
 std::vector<InstanceLoad>
 PeerLoads::AddReportsOf(const std::set<VmId>& aVms, const std::vector<InstanceLoad>& aOwn) const
 {
-  std::map<uint32_t, uint16_t> sums;
+  std::map<uint32_t, InstanceLoad> sums;
   const auto add = [&sums](const std::vector<InstanceLoad>& aLoads) {
-    for (const InstanceLoad& load : aLoads)
-      sums[load.instance] += load.inFlight;
+    for (const InstanceLoad& load : aLoads) {
+      InstanceLoad& sum = sums[load.instance];
+      sum.instance = load.instance;
+      sum.inFlight += load.inFlight;
+      sum.claim += load.claim;
+    }
   };
   add(aOwn);
   for (const VmId& vm : aVms) {
@@ -102,8 +127,8 @@
   }
   std::vector<InstanceLoad> loads;
   loads.reserve(sums.size());
-  for (const auto& [instance, inFlight] : sums)
-    loads.push_back({ .instance = instance, .inFlight = inFlight });
+  for (const auto& [instance, sum] : sums)
+    loads.push_back(sum);
   return loads;
 }
 
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -33,17 +33,22 @@
 {
   std::vector<uint32_t> instances;
   std::vector<uint8_t> inFlight;
+  std::vector<uint16_t> claims;
   for (const InstanceLoad& load : aLoad.loads) {
+    claims.push_back(load.claim);
     instances.push_back(load.instance);
     inFlight.push_back(static_cast<uint8_t>(std::min(load.inFlight, kMaxInFlight)));
   }
+  const bool hasClaims =
+    std::any_of(claims.begin(), claims.end(), [](uint16_t aClaim) { return aClaim > 0; });
   const int64_t lifeMs = std::chrono::duration_cast<std::chrono::milliseconds>(aLoad.life).count();
   return { wire::SteeringBody::LoadReport,
            wire::CreateLoadReportDirect(aBuilder,
                                         &instances,
                                         &inFlight,
                                         static_cast<uint16_t>(std::min(lifeMs, kMaxLifeMs)),
-                                        aLoad.domain ? aLoad.domain->Value().c_str() : nullptr)
+                                        aLoad.domain ? aLoad.domain->Value().c_str() : nullptr,
+                                        hasClaims ? &claims : nullptr)
              .Union() };
 }
 
@@ -151,9 +156,15 @@
   if (instances->size() != inFlight->size())
     return tl::unexpected(
       CodecError{ "load report: lists of instances and in-flight counts differ in length" });
+  const auto* claims = aReport.claims();
+  if (claims != nullptr && claims->size() != instances->size())
+    return tl::unexpected(
+      CodecError{ "load report: lists of instances and claims differ in length" });
   load.loads.reserve(instances->size());
   for (flatbuffers::uoffset_t i = 0; i < instances->size(); ++i)
-    load.loads.push_back({ .instance = instances->Get(i), .inFlight = inFlight->Get(i) });
+    load.loads.push_back({ .instance = instances->Get(i),
+                           .inFlight = inFlight->Get(i),
+                           .claim = claims == nullptr ? uint16_t{ 0 } : claims->Get(i) });
   return load;
 }
 
--- a/lib/Steering/RegionBalance.cpp
+++ b/lib/Steering/RegionBalance.cpp
@@ -63,9 +63,10 @@
       RegionUse& use = usesByRegion[region];
       use.region = region;
       for (const Candidate& candidate : candidates.list) {
-        if (candidate.tracker->UnusableReasonAt(aNow) != Unusable::None)
+        const Unusable why = candidate.tracker->UnusableReasonAt(aNow);
+        if (why != Unusable::None && why != Unusable::Limited)
           continue;
-        use.slots += candidate.tracker->Spec().slots;
+        use.slots += candidate.tracker->ServableSlots(aNow);
         use.busy += candidate.tracker->KnownInFlight();
       }
     }
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -121,7 +121,8 @@
     VT_INSTANCES = 4,
     VT_IN_FLIGHT = 6,
     VT_LIFE_MS = 8,
-    VT_DOMAIN = 10
+    VT_DOMAIN = 10,
+    VT_CLAIMS = 12
   };
   const flatbuffers::Vector<uint32_t> *instances() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_INSTANCES);
@@ -135,6 +136,9 @@
   const flatbuffers::String *domain() const {
     return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
   }
+  const flatbuffers::Vector<uint16_t> *claims() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_CLAIMS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCES) &&
@@ -144,6 +148,8 @@
            VerifyField<uint16_t>(verifier, VT_LIFE_MS, 2) &&
            VerifyOffset(verifier, VT_DOMAIN) &&
            verifier.VerifyString(domain()) &&
+           VerifyOffset(verifier, VT_CLAIMS) &&
+           verifier.VerifyVector(claims()) &&
            verifier.EndTable();
   }
 };
@@ -164,6 +170,9 @@
   void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
     fbb_.AddOffset(LoadReport::VT_DOMAIN, domain);
   }
+  void add_claims(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> claims) {
+    fbb_.AddOffset(LoadReport::VT_CLAIMS, claims);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -180,8 +189,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> instances = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> in_flight = 0,
     uint16_t life_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> domain = 0) {
+    flatbuffers::Offset<flatbuffers::String> domain = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> claims = 0) {
   LoadReportBuilder builder_(_fbb);
+  builder_.add_claims(claims);
   builder_.add_domain(domain);
   builder_.add_in_flight(in_flight);
   builder_.add_instances(instances);
@@ -194,16 +205,19 @@
     const std::vector<uint32_t> *instances = nullptr,
     const std::vector<uint8_t> *in_flight = nullptr,
     uint16_t life_ms = 0,
-    const char *domain = nullptr) {
+    const char *domain = nullptr,
+    const std::vector<uint16_t> *claims = nullptr) {
   auto instances__ = instances ? _fbb.CreateVector<uint32_t>(*instances) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint8_t>(*in_flight) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
+  auto claims__ = claims ? _fbb.CreateVector<uint16_t>(*claims) : 0;
   return dfm::wire::CreateLoadReport(
       _fbb,
       instances__,
       in_flight__,
       life_ms,
-      domain__);
+      domain__,
+      claims__);
 }
 
 struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/unittests/Platform/StatementsTest.cpp
+++ b/unittests/Platform/StatementsTest.cpp
@@ -150,4 +150,69 @@
   cr_assert(usedAgain);
 }
 
+/// Sends requests to the home for aDuration and returns how many reached it.
+size_t
+CountAtHomeFor(StatementFixture& aFixture, const std::string& aRequestId, Duration aDuration)
+{
+  const auto end = std::chrono::steady_clock::now() + aDuration;
+  while (std::chrono::steady_clock::now() < end)
+    aFixture.Send(http::verb::get, "/read/1", aRequestId);
+  return StatementFixture::CountArrivals(*aFixture.home, aRequestId);
+}
+
+/// Guards against an instance that gets more requests than the rate that it states in its answers,
+/// and against one that is limited by a value that is none.
+Test(Statements, InstanceGetsNoMoreRequestsThanItStates)
+{
+  struct Case
+  {
+    const char* value;
+    bool limits;
+  };
+  constexpr Duration kWindow = 4s;
+  // One and a half times the rate, and 5 requests.
+  constexpr size_t kAllowed = 4 * 5 * 3 / 2 + 5;
+  for (const Case& testCase : { Case{ "5", true },
+                                Case{ "5.0", true },
+                                Case{ "-5", false },
+                                Case{ "5x", false },
+                                Case{ "nan", false },
+                                Case{ "1e999", false },
+                                Case{ "", false } }) {
+    StatementFixture fixture;
+    StandInInstance* const home = fixture.home;
+    home->SetBehaviour([home, &testCase](const Request& aRequest) {
+      Reaction reaction = home->SuccessReaction(aRequest);
+      reaction.answer.set("Server-Limit", testCase.value);
+      return reaction;
+    });
+    CountAtHomeFor(fixture, "first", 500ms);
+    if (testCase.limits) {
+      const size_t arrivals = CountAtHomeFor(fixture, "limited", kWindow);
+      cr_assert(arrivals > 0 && arrivals <= kAllowed, "%s: %zu", testCase.value, arrivals);
+    } else {
+      const bool many = GatewayFixture::WaitUntil(
+        [&] { return CountAtHomeFor(fixture, "not limited", 200ms) > 2 * kAllowed; });
+      cr_assert(many, "%s", testCase.value);
+    }
+  }
+}
+
+/// Guards against a limit that holds after the instance no longer states it.
+Test(Statements, LimitEndsWithTheStatement)
+{
+  StatementFixture fixture;
+  StandInInstance* const home = fixture.home;
+  home->SetBehaviour([home](const Request& aRequest) {
+    Reaction reaction = home->SuccessReaction(aRequest);
+    reaction.answer.set("Server-Limit", "2");
+    return reaction;
+  });
+  CountAtHomeFor(fixture, "limited", 500ms);
+  home->SetBehaviour({});
+  const bool many = GatewayFixture::WaitUntil(
+    [&] { return CountAtHomeFor(fixture, "no longer limited", 200ms) > 100; });
+  cr_assert(many);
+}
+
 } // namespace
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -89,7 +89,9 @@
     const Ticket running = fixture.Submit({}, 1);
     const Ticket waiting = fixture.Submit({}, 2);
     fixture.dispatcher.OnInstanceStatement(
-      { .instance = BackendId("i-1"), .startTimeMs = testCase.statedByRun }, { .leaving = true });
+      fixture.now,
+      { .instance = BackendId("i-1"), .startTimeMs = testCase.statedByRun },
+      { .leaving = true });
     fixture.End(running, Kind::Answered, 200);
     cr_assert(fixture.running.contains(waiting) == (testCase.statedByRun < 2), "%s", testCase.name);
     fixture.Advance(300ms);
@@ -108,7 +110,7 @@
   DispatcherFixture fixture;
   fixture.SetFleet({ { .id = "i-1", .slots = 2 } });
   const Ticket first = fixture.Submit({}, 1);
-  const auto load = fixture.dispatcher.OwnLoad();
+  const auto load = fixture.dispatcher.OwnLoad(fixture.now);
   cr_assert(load.size() == 1 && load[0].inFlight == 1);
   fixture.dispatcher.OnPeerLoad(fixture.now, VmId("vm-9"), { .loads = load, .life = 1s });
   fixture.Submit({}, 2);
@@ -380,7 +382,7 @@
     cr_assert(not serve(0x9e3779b97f4a7c15).spilled);
   const uint64_t moved = key * 0x9e3779b97f4a7c15;
   const std::string targetInstance = serve(moved).instance.Value();
-  std::vector<InstanceLoad> full = fixture.dispatcher.OwnLoad();
+  std::vector<InstanceLoad> full = fixture.dispatcher.OwnLoad(fixture.now);
   cr_assert(full.empty());
   for (const char* instance : { "i-south", "i-east" })
     full.push_back({ .instance = static_cast<uint32_t>(HashBytes(instance)), .inFlight = 10 });
@@ -405,7 +407,7 @@
   fixture.dispatcher.Cancel(fixture.now, waiting);
   fixture.dispatcher.Cancel(fixture.now, running);
   cr_assert(fixture.started.size() == 1);
-  cr_assert(fixture.dispatcher.OwnLoad().empty());
+  cr_assert(fixture.dispatcher.OwnLoad(fixture.now).empty());
   fixture.Submit({}, 3);
   cr_assert(fixture.started.size() == 2);
 }
--- a/unittests/Steering/ManifestTest.cpp
+++ b/unittests/Steering/ManifestTest.cpp
@@ -123,8 +123,9 @@
   kind.complete = false;
   kind.removed.emplace_back("i-2");
   const PeerMessage messages[] = {
-    PeerLoad{ .loads = { { .instance = 7, .inFlight = 3 }, { .instance = 9, .inFlight = 1 } },
-              .life = 1500ms },
+    PeerLoad{
+      .loads = { { .instance = 7, .inFlight = 3 }, { .instance = 9, .inFlight = 1, .claim = 4 } },
+      .life = 1500ms },
     PeerLoad{ .domain = FailureDomainId("north-a"),
               .loads = { { .instance = 7, .inFlight = 3 } },
               .life = 2s },
--- a/unittests/Steering/PeerLoadsTest.cpp
+++ b/unittests/Steering/PeerLoadsTest.cpp
@@ -54,6 +54,27 @@
   cr_assert(loads.InFlightAt(7) == 0);
 }
 
+/// Guards against claims of an instance's rate that are lost where their VM has no request in
+/// flight, or in the sum of a failure domain, or that outlive their report.
+Test(PeerLoads, SumsTheClaimsOfAllVms)
+{
+  PeerLoads loads;
+  const TimePoint start{ 100s };
+  const VmId relay("vm-1");
+  const std::vector<InstanceLoad> claimOnly{ { .instance = 7, .claim = 25 } };
+  loads.OnReport(start, relay, { .loads = claimOnly, .life = 1s });
+  loads.OnReport(start,
+                 VmId("vm-2"),
+                 { .loads = { { .instance = 7, .inFlight = 1, .claim = 10 } }, .life = 2s });
+  cr_assert(loads.ClaimsAt(7) == 3.5);
+  const std::vector<InstanceLoad> own{ { .instance = 7, .inFlight = 2, .claim = 5 } };
+  const std::vector<InstanceLoad> expected{ { .instance = 7, .inFlight = 2, .claim = 30 } };
+  cr_assert(loads.AddReportsOf({ relay }, own) == expected);
+  loads.DropExpired(start + 1s);
+  cr_assert(loads.ClaimsAt(7) == 1);
+  cr_assert(loads.InFlightAt(7) == 1);
+}
+
 /// Guards against reports that cost time for each instance that they name: relayed sums name most
 /// instances of a region, and applying them took half of the processor time of small VMs.
 Test(PeerLoads, AppliesOnlyTheEntriesThatChanged)
