Send nothing to an instance during the pause that it asks for

Cause as for the other statements: not read.

The pause is part of InstanceStatement; the tracker keeps requests and health checks away until its end.

Statements/InstanceGetsNoRequestUntilItsPauseEnds failed before (used again within the 1.5 s) and passes, as does Dispatcher/ ChecksNoInstanceDuringItsPause.

--- a/include/dragonflymoor/Steering/InstanceStatement.h
+++ b/include/dragonflymoor/Steering/InstanceStatement.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYMOOR_STEERING_INSTANCESTATEMENT_H
 
 #include "dragonflymoor/Model/Fleet.h"
+#include "dragonflymoor/Support/Time.h"
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -15,6 +16,8 @@
   /// Requests a second that it takes from all VMs together while it states so; empty for any
   /// number.
   std::optional<double> maxRequestsPerSecond;
+  /// It wants no request from this VM for this long.
+  std::optional<Duration> pause;
   /// A value could not be read; what is known from earlier statements still holds.
   bool malformed = false;
 
--- a/include/dragonflymoor/Steering/InstanceTracker.h
+++ b/include/dragonflymoor/Steering/InstanceTracker.h
@@ -18,6 +18,7 @@
   Draining, ///< By its registration.
   Leaving,  ///< By its own statement.
   Evacuated,
+  Paused,  ///< It wants no request from this VM for some time.
   Down,    ///< Connects failed, connections broke or answers stopped; lasts until a health check
            ///< passes.
   Cold,    ///< The VM's part of its cold rate is used up.
@@ -52,6 +53,8 @@
   /// Sets whether the present run has stated that it leaves.
   void SetLeaving(bool aLeaving) { leaving_ = aLeaving; }
   bool IsLeaving() const { return spec_.draining || leaving_; }
+  /// The instance stated that it wants no request from this VM for aPause, health checks included.
+  void OnPause(TimePoint aNow, Duration aPause);
   /// Hash of the instance's id.
   uint64_t IdHash() const { return idHash_; }
   /// Key of the instance in load reports: the low half of the hash of its id.
@@ -113,6 +116,7 @@
   uint64_t idHash_ = 0;
   bool evacuated_ = false;
   bool leaving_ = false;
+  TimePoint pausedUntil_;
   unsigned inFlight_ = 0;
   unsigned peerInFlight_ = 0;
   /// Filled when it is looked at, so that an instance without requests costs nothing.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -253,7 +253,8 @@
         { "leaving", aStatement.leaving ? "1" : "0" },
         { "max_per_s",
           aStatement.maxRequestsPerSecond ? fmt::format("{}", *aStatement.maxRequestsPerSecond)
-                                          : "-" } });
+                                          : "-" },
+        { "pause_ms", aStatement.pause ? std::to_string(*aStatement.pause / 1ms) : "-" } });
 }
 
 Page
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -363,10 +363,12 @@
     return isNew;
   if (isNew)
     instance->SetLeaving(true);
+  if (aStatement.pause)
+    instance->OnPause(aNow, *aStatement.pause);
   if (!aStatement.malformed || aStatement.maxRequestsPerSecond)
     isNew = instance->Rate().OnStatement(aNow, aStatement.maxRequestsPerSecond) || isNew;
   UpdateIndexes(aNow, *instance);
-  return isNew;
+  return isNew || aStatement.pause;
 }
 
 void
--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -60,6 +60,8 @@
       return "leaving";
     case Unusable::Evacuated:
       return "evacuated";
+    case Unusable::Paused:
+      return "paused";
     case Unusable::Down:
       return "down";
     case Unusable::Cold:
@@ -124,6 +126,8 @@
     return Unusable::Leaving;
   if (evacuated_)
     return Unusable::Evacuated;
+  if (aNow < pausedUntil_)
+    return Unusable::Paused;
   if (down_)
     return Unusable::Down;
   if (IsCold(aNow)) {
@@ -162,6 +166,14 @@
          ToSeconds(meanLatency_) > kDegradedLatencyFactor * ToSeconds(aTypicalLatency);
 }
 
+void
+InstanceTracker::OnPause(TimePoint aNow, Duration aPause)
+{
+  pausedUntil_ = std::max(pausedUntil_, aNow + aPause);
+  // A check that is due in the meantime follows at the end.
+  nextProbeTime_ = std::max(nextProbeTime_, pausedUntil_);
+}
+
 void
 InstanceTracker::OnSend(TimePoint aNow)
 {
@@ -211,7 +223,7 @@
     return;
   down_ = true;
   failedProbes_ = 0;
-  nextProbeTime_ = aNow + kFirstProbeWait;
+  nextProbeTime_ = std::max(aNow + kFirstProbeWait, pausedUntil_);
 }
 
 void
@@ -224,7 +236,8 @@
     return;
   }
   const unsigned doublings = std::min(++failedProbes_, 8U);
-  nextProbeTime_ = aNow + std::min(kFirstProbeWait * (1 << doublings), kMaxProbeWait);
+  nextProbeTime_ =
+    std::max(aNow + std::min(kFirstProbeWait * (1 << doublings), kMaxProbeWait), pausedUntil_);
 }
 
 std::vector<uint64_t>
--- a/unittests/Platform/StatementsTest.cpp
+++ b/unittests/Platform/StatementsTest.cpp
@@ -150,6 +150,41 @@
   cr_assert(usedAgain);
 }
 
+/// Guards against requests to an instance that has turned one away and stated for how long it wants
+/// none, and against an instance that is out for a value that is none.
+Test(Statements, InstanceGetsNoRequestUntilItsPauseEnds)
+{
+  struct Case
+  {
+    const char* value;
+    unsigned status;
+    bool pauses;
+  };
+  constexpr Duration kPause = 1500ms;
+  for (const Case& testCase : { Case{ "1.5", 503, true },
+                                Case{ "1.5", 500, false },
+                                Case{ "-1", 503, false },
+                                Case{ "nan", 503, false },
+                                Case{ "Fri, 31 Dec 2027 23:59:59 GMT", 503, false } }) {
+    StatementFixture fixture;
+    StandInInstance* const home = fixture.home;
+    home->SetBehaviour([home, &testCase](const Request& aRequest) {
+      Reaction reaction = home->ShedReaction(aRequest);
+      reaction.answer.result(testCase.status);
+      reaction.answer.set("Retry-After", testCase.value);
+      return reaction;
+    });
+    fixture.Send(http::verb::get, "/read/1", "turned away");
+    const auto end = std::chrono::steady_clock::now() + kPause;
+    home->SetBehaviour({});
+    const bool usedAgain =
+      GatewayFixture::WaitUntil([&] { return fixture.CountOfTenAtHome("later") > 0; });
+    cr_assert(usedAgain, "%s", testCase.value);
+    const bool waited = std::chrono::steady_clock::now() >= end;
+    cr_assert(waited == testCase.pauses, "%s", testCase.value);
+  }
+}
+
 /// Sends requests to the home for aDuration and returns how many reached it.
 size_t
 CountAtHomeFor(StatementFixture& aFixture, const std::string& aRequestId, Duration aDuration)
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -103,6 +103,30 @@
   }
 }
 
+/// Guards against health checks of an instance that wants nothing from this VM for some time, and
+/// against one that is never checked again.
+Test(Dispatcher, ChecksNoInstanceDuringItsPause)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1" } });
+  fixture.dispatcher.OnInstanceStatement(
+    fixture.now, { .instance = BackendId("i-1"), .startTimeMs = 1 }, { .pause = 2s });
+  fixture.Advance(100ms);
+  const Ticket ticket = fixture.Submit({}, 1);
+  cr_assert(not fixture.running.contains(ticket));
+  fixture.Advance(1900ms);
+  cr_assert(fixture.started.empty());
+  const Ticket later = fixture.Submit({}, 2);
+  cr_assert(fixture.running.contains(later));
+  fixture.End(later, Kind::NotSent);
+  fixture.dispatcher.OnInstanceStatement(
+    fixture.now, { .instance = BackendId("i-1"), .startTimeMs = 1 }, { .pause = 2s });
+  fixture.Advance(1900ms);
+  cr_assert(fixture.probed.empty());
+  fixture.Advance(300ms);
+  cr_assert(not fixture.probed.empty());
+}
+
 /// Guards against sending more requests than an instance has slots, which happens when the requests
 /// that other VMs report are not counted; the excess would queue at the instance.
 Test(Dispatcher, CountsRequestsOfOtherVms)
