--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -253,6 +253,14 @@
   ApplyChange(aKind, aName, std::move(aSpec), false);
 }
 
+void
+StandInStore::PutBytes(const std::string& aKind, const std::string& aName, std::string aSpec)
+{
+  const std::scoped_lock lock(mutex_);
+  specBytes_.push_back(std::move(aSpec));
+  ApplyChange(aKind, aName, json::string(fmt::format("bytes-{}", specBytes_.size() - 1)), false);
+}
+
 void
 StandInStore::Delete(const std::string& aKind, const std::string& aName)
 {
@@ -345,6 +353,12 @@
   if (aRequest.method() != http::verb::get)
     return { .answer = AnswerWrite(aRequest, pathSegments) };
   Reaction reaction{ .answer = AnswerGet(pathSegments.at(1), query) };
+  for (size_t i = 0; i < specBytes_.size(); ++i) {
+    const std::string placeholder = fmt::format("\"bytes-{}\"", i);
+    std::string& body = reaction.answer.body();
+    for (size_t at = body.find(placeholder); at != std::string::npos; at = body.find(placeholder))
+      body.replace(at, placeholder.size(), specBytes_[i]);
+  }
   // Delays the answer to a watch that has no events, so that the client does not call in a busy
   // loop. Events that occur during the delay are reported to the next call of the client.
   if (!QueryValue(query, "watch").empty() &&
--- a/unittests/Platform/StandIns.h
+++ b/unittests/Platform/StandIns.h
@@ -112,6 +112,8 @@
 
   Endpoint Address() const { return server_.Address(); }
   void Put(const std::string& aKind, const std::string& aName, json::value aSpec);
+  /// As Put, with a spec that is sent as these bytes, which need not be JSON.
+  void PutBytes(const std::string& aKind, const std::string& aName, std::string aSpec);
   void Delete(const std::string& aKind, const std::string& aName);
   /// Drops all events so far; a watch that starts at an earlier revision then gets status 410.
   void DropHistory();
@@ -141,6 +143,7 @@
                           bool aDeleted);
 
   std::mutex mutex_;
+  std::vector<std::string> specBytes_; ///< Each stands for the spec "bytes-" and its index.
   uint64_t revision_ = 100;
   uint64_t oldestWatchRevision_ = 100;
   std::map<std::string, std::map<std::string, json::value>> objects_;
