Test repeated refusals and answers that end in their head

Operators of similar systems saw a refusal that an instance wrote once more on a kept connection count for the next request, and answers cut in their head delivered as whole successes. Neither can happen here: an answer without the request's id counts only on a connection that has carried no other, and the head must end.

--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 #include <set>
 #include <sstream>
 
@@ -237,6 +238,60 @@
   }
 }
 
+/// Guards against a refusal that an instance sends once more on a kept connection and that counts
+/// for the next request: its caller is told that it has not run, or it runs at a second instance.
+Test(Gateway, RepeatedRefusalCountsForNoOtherRequest)
+{
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+  const std::string end = "Content-Length: 0\r\n\r\n";
+  ServingFixture fixture;
+  for (const std::string& repeated :
+       { refusal + "X-Request-Id: refused\r\n" + end, refusal + end }) {
+    for (const char* const target : { "/read/1", "/order/1" }) {
+      fixture.SetBehaviour([](const StandInInstance& aInstance, const Request& aRequest) {
+        return aInstance.ShedReaction(aRequest);
+      });
+      // Both instances refuse it, and each keeps a connection.
+      const auto refused = fixture.Send(http::verb::post, target, "refused");
+      cr_assert(refused && refused->result() == http::status::service_unavailable);
+      fixture.SetBehaviour([&repeated](const StandInInstance& aInstance, const Request& aRequest) {
+        Reaction reaction = aInstance.SuccessReaction(aRequest);
+        reaction.bytesBeforeAnswer = repeated;
+        return reaction;
+      });
+      const std::string id = target + repeated;
+      const std::string requestId = std::to_string(std::hash<std::string>()(id));
+      // An instance counts as full for a moment after a refusal.
+      std::this_thread::sleep_for(200ms);
+      const auto answer = fixture.Send(http::verb::post, target, requestId);
+      cr_assert(answer && answer->result() == http::status::ok, "%s", repeated.c_str());
+      cr_assert(fixture.CountRequestsReceived(requestId) == 1, "%s", repeated.c_str());
+    }
+  }
+}
+
+/// Guards against an answer whose head is cut and that callers get as a whole success with an empty
+/// body.
+Test(Gateway, AnswerThatEndsInItsHeadIsNoSuccess)
+{
+  ServingFixture fixture;
+  for (const char* const framing :
+       { "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+    const std::string head =
+      fmt::format("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: cut\r\n{}\r\n", framing);
+    for (size_t bytes = 1; bytes < head.size(); ++bytes) {
+      fixture.SetBehaviour([&](const StandInInstance&, const Request&) {
+        return Reaction{ .sendsAnswer = false,
+                         .bytesBeforeAnswer = head.substr(0, bytes),
+                         .closeAfterBytes = 1 };
+      });
+      const auto answer = fixture.Send(http::verb::post, "/order/1", "cut");
+      cr_assert(
+        answer && answer->result() == http::status::bad_gateway, "%s: %zu bytes", framing, bytes);
+    }
+  }
+}
+
 /// Guards against an instance that sends bytes without end and so fills the memory of the VM, holds
 /// the request until its deadline, or leaves bytes to the next request. Several such answers arrive
 /// at once, so a limit for each answer alone is not enough.
