--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -242,11 +242,11 @@
 /// for the next request: its caller is told that it has not run, or it runs at a second instance.
 Test(Gateway, RepeatedRefusalCountsForNoOtherRequest)
 {
-  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
-  const std::string end = "Content-Length: 0\r\n\r\n";
+  constexpr std::string_view kRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n{}Content-Length: 0\r\n\r\n";
   ServingFixture fixture;
-  for (const std::string& repeated :
-       { refusal + "X-Request-Id: refused\r\n" + end, refusal + end }) {
+  for (const char* const idHeader : { "X-Request-Id: refused\r\n", "" }) {
+    const std::string repeated = fmt::format(kRefusal, idHeader);
     for (const char* const target : { "/read/1", "/order/1" }) {
       fixture.SetBehaviour([](const StandInInstance& aInstance, const Request& aRequest) {
         return aInstance.ShedReaction(aRequest);
