--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,41 +1,19 @@
-// A requester hides a request in the body of another one: the outer request names a transfer coding
-// and no length. The inner request must not run.
+// A request crashes each instance that begins to run it, and comes again every few seconds on a
+// quiet night. The system must stop passing it on.
 #include "../common/standins.hh"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 using namespace review;
 
 namespace {
 
-constexpr double kBegin = 5; // The machine has been in touch for settle_window_s.
-constexpr int kAttempts = 10;
-
-// Sends aText and returns the ids of the answers that come back within a second.
-std::vector<std::string>
-SendText(const Address& aMachine, const std::string& aText)
-{
-  asio::io_context context;
-  tcp::socket socket(context);
-  boost::system::error_code error;
-  socket.connect({ asio::ip::make_address(aMachine.ip), aMachine.port }, error);
-  asio::write(socket, asio::buffer(aText), error);
-  const timeval limit{ 1, 0 };
-  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  std::string received;
-  char bytes[4096];
-  for (ssize_t count = 0;
-       (count = ::recv(socket.native_handle(), bytes, sizeof(bytes), 0)) > 0;)
-    received.append(bytes, static_cast<size_t>(count));
-  std::vector<std::string> ids;
-  const std::string kHeader = "X-Request-Id: ";
-  for (size_t at = received.find(kHeader); at != std::string::npos;
-       at = received.find(kHeader, at + 1)) {
-    const size_t begin = at + kHeader.size();
-    ids.push_back(received.substr(begin, received.find("\r\n", begin) - begin));
-  }
-  return ids;
-}
+constexpr double kSettleWindow = 3; // settle_window_s
+constexpr unsigned kMaxRetries = 3;
+constexpr double kBegin = 6;
+constexpr double kEnd = 56;
+constexpr auto kPeriod = 3s;
 
 } // namespace
 
@@ -49,85 +27,90 @@
   const Address storeAddress{ "127.0.0.1", FreePorts({ "127.0.0.1" }, 1) };
   Store store(storeAddress);
   std::vector<std::unique_ptr<Instance>> instances;
-  for (int i = 0; i < 4; ++i) {
-    instances.push_back(std::make_unique<Instance>(
-      store, record, InstanceOptions{ .service = "shelfview", .zone = "jhb-a", .work = 50ms }));
+  for (int i = 0; i < 12; ++i)
     instances.push_back(std::make_unique<Instance>(
-      store, record, InstanceOptions{ .service = "orderbook", .zone = "jhb-a", .work = 50ms }));
-  }
+      store,
+      record,
+      InstanceOptions{ .service = "shelfview",
+                       .zone = i % 2 == 0 ? "jhb-a" : "jhb-b",
+                       .slots = 9,
+                       .work = 244ms,
+                       .crashPath = trouble ? "/stock/bad" : "" }));
   store.Put("config",
             "main",
-            MakeManifest({ MakeRoute("stock", "/stock/", "shelfview", true, 3, 1),
-                           MakeRoute("orders", "/orders/", "orderbook", false, 3, 1) },
-                         { "shelfview", "orderbook" }));
+            MakeManifest({ MakeRoute("stock", "/stock/", "shelfview", true, 3, 1) },
+                         { "shelfview" }));
   Machines machines(argv[1], argv[2], record);
-  machines.Start({ { "edge-jhb-a-1", "jhb-a", "127.0.0.2" } }, storeAddress);
+  machines.Start({ { "edge-jhb-a-1", "jhb-a", "127.0.0.2" },
+                   { "edge-jhb-b-1", "jhb-b", "127.0.0.3" } },
+                 storeAddress);
   if (!machines.WaitUntilReady())
     Finish(machines, 2);
   SleepUntil(kBegin);
 
+  // The usual requests of the night: one each two seconds at each machine.
+  std::atomic<unsigned> answered = 0;
+  std::atomic<unsigned> unanswered = 0;
+  std::vector<std::thread> users;
+  for (size_t machine = 0; machine < 2; ++machine) {
+    users.emplace_back([&, machine] {
+      Channel channel(machines.Front(machine));
+      for (double at = kBegin + static_cast<double>(machine); at < kEnd; at += 2) {
+        SleepUntil(at);
+        const auto answer = channel.Send(MakeRequest(http::verb::get, "/stock/usual", 1200));
+        ++(answer && answer->result() == http::status::ok ? answered : unanswered);
+      }
+    });
+  }
+
+  // The same caller sends the same request, at one machine after the other, each time on a new
+  // channel.
   std::set<std::string> sent;
-  unsigned usual = 0;
-  unsigned surplusAnswers = 0;
-  Channel channel(machines.Front(0));
-  for (int i = 0; i < kAttempts; ++i) {
-    const Request request = MakeRequest(http::verb::get, "/stock/a", 1200);
-    sent.insert(std::string(request["X-Request-Id"]));
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; Now() < kEnd; ++i) {
+    std::this_thread::sleep_until(begin + i * kPeriod);
+    Channel channel(machines.Front(static_cast<size_t>(i % 2)));
+    const Request request = MakeRequest(http::verb::get, "/stock/bad", 1200);
+    const std::string id(request["X-Request-Id"]);
+    sent.insert(id);
+    record.Line(fmt::format("bad request {} sent to machine {}", id, i % 2 + 1));
     const auto answer = channel.Send(request);
-    usual += answer && answer->result() == http::status::ok ? 1 : 0;
-
-    const std::string outerId = fmt::format("outer-{}", i);
-    const std::string innerId = fmt::format("never-sent-{}", i);
-    sent.insert(outerId);
-    const std::string inner = fmt::format("POST /orders/pay HTTP/1.1\r\n"
-                                          "Host: {}\r\n"
-                                          "X-Request-Id: {}\r\n"
-                                          "X-Deadline-Ms: 1200\r\n"
-                                          "Content-Length: 5\r\n"
-                                          "\r\n"
-                                          "order",
-                                          kHost,
-                                          innerId);
-    const std::string outer = fmt::format("POST /stock/note HTTP/1.1\r\n"
-                                          "Host: {}\r\n"
-                                          "X-Request-Id: {}\r\n"
-                                          "X-Deadline-Ms: 1200\r\n"
-                                          "{}\r\n"
-                                          "\r\n",
-                                          kHost,
-                                          outerId,
-                                          trouble ? std::string("Transfer-Encoding: gzip")
-                                                  : fmt::format("Content-Length: {}", inner.size()));
-    record.Line("request " + outerId + " sent with " + innerId + " in its body");
-    const auto ids = SendText(machines.Front(0), outer + inner);
-    for (const std::string& id : ids) {
-      record.Line("an answer to " + id + " comes back on the channel of " + outerId);
-      surplusAnswers += id == outerId ? 0 : 1;
-    }
+    record.Line("bad request " + id + " " +
+                (answer ? fmt::format("answered {}", answer->result_int()) : "gets no answer"));
   }
+  for (std::thread& user : users)
+    user.join();
 
-  // UNASKED: an instance runs a request whose id no requester sent.
-  unsigned unasked = 0;
+  // BUDGET: how many retries reach instances later than settle_window_s after the third crash.
+  std::vector<double> crashes;
+  std::vector<Instance::Arrival> arrivals;
   for (const auto& instance : instances) {
-    for (const Instance::Arrival& arrival : instance->Arrivals()) {
+    for (const double crash : instance->Crashes())
+      crashes.push_back(crash);
+    for (const Instance::Arrival& arrival : instance->Arrivals())
       if (sent.count(arrival.id) > 0)
-        continue;
-      ++unasked;
-      record.Line("UNASKED: " + arrival.id + " (" + arrival.path + ") was run by " +
-                  arrival.instance);
-    }
+        arrivals.push_back(arrival);
   }
-  const std::string result =
-    fmt::format("requests with another one in their body {}, usual requests answered {}, requests "
-                "that instances ran and nobody sent {} (any breaks the rule), answers on a channel "
-                "with no request waiting {}",
-                kAttempts,
-                usual,
-                unasked,
-                surplusAnswers);
+  std::sort(crashes.begin(), crashes.end());
+  std::set<std::string> retries;
+  if (crashes.size() >= 3) {
+    for (const Instance::Arrival& arrival : arrivals)
+      if (arrival.at > crashes[2] + kSettleWindow)
+        retries.insert(arrival.id);
+  }
+  const std::string result = fmt::format(
+    "bad requests sent {}, instances crashed {} times, retries that reached instances later than {} "
+    "s after the third crash {} (more than {} break the rule), usual requests answered {}, not {}",
+    sent.size(),
+    crashes.size(),
+    kSettleWindow,
+    retries.size(),
+    kMaxRetries,
+    answered.load(),
+    unanswered.load());
   record.Line(result);
   fmt::print("{}\n", result);
-  if (usual == 0)
-    Finish(machines, 2);
-  Finish(machines, unasked > 0 ? 1 : 0);
+  if (answered == 0 || (trouble && crashes.size() < 3))
+    Finish(machines, trouble && answered > 0 ? 0 : 2);
+  Finish(machines, retries.size() > kMaxRetries ? 1 : 0);
 }
