Do not take a closed watch or a short outage for a loss of entries

Cause: a waiting watch that the store closed counted as the loss of the store, the list after it as its return, and each return gave lapsed entries the whole 2.2 s to be registered again.

After a closed watch the list decides whether the store answers. Short outages that follow each other closely add up.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -24,6 +24,7 @@
   Vm self;
   std::vector<Endpoint> seeds; ///< Peer ports of some VMs; may be out of date.
   uint64_t randomSeed = 0;
+  Duration instanceReportPeriod = 1500ms; ///< At which instances renew their entries in the store.
 };
 
 /// Maintains this VM's view of the fleet: follows the store, reads the store's state from other VMs
--- a/include/dragonflymoor/Gateway/Protocol.h
+++ b/include/dragonflymoor/Gateway/Protocol.h
@@ -69,6 +69,7 @@
   {
     HistoryGone, ///< The store no longer keeps the changes since the given revision.
     Unavailable, ///< No usable answer, or the store reports that it did nothing.
+    Interrupted, ///< The store closed the connection before it answered, as it may do to a watch.
     Rejected,    ///< The store refused the call as invalid.
   };
   Kind kind = Kind::Unavailable;
--- a/include/dragonflymoor/Net/Asio.h
+++ b/include/dragonflymoor/Net/Asio.h
@@ -50,6 +50,11 @@
 bool
 IsIdleAndOpen(tcp::socket& aSocket);
 
+/// Whether the other side ended a connection, by closing or resetting it, rather than this side or a
+/// time-out.
+bool
+IsClosedByPeer(const error_code& aError);
+
 } // namespace dfm
 
 #endif
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -62,6 +62,12 @@
   std::function<void(const Instance&, std::string_view aChange)> instanceChanged;
 };
 
+struct FleetKeeperOptions
+{
+  /// Period at which a live instance renews its entry in the store.
+  Duration instanceReportPeriod = 1500ms;
+};
+
 /// Holds the fleet state read from the store, or from another VM that reaches the store. The
 /// manifest is never replaced by an older version, whichever source that comes from. Instances
 /// whose entries lapsed during an outage of the store are kept until they had time to register
@@ -70,7 +76,7 @@
 {
 public:
   /// Precondition: all functions are set.
-  FleetKeeper(ObjectDecoders aDecoders, FleetKeeperHooks aHooks);
+  FleetKeeper(ObjectDecoders aDecoders, FleetKeeperHooks aHooks, FleetKeeperOptions aOptions = {});
 
   /// Replaces all objects of one kind. A revision older than the known one is ignored.
   void OnSnapshot(TimePoint aNow, ObjectKind aKind, const ObjectSet& aSet);
@@ -78,13 +84,16 @@
                  ObjectKind aKind,
                  uint64_t aRevision,
                  const std::vector<ObjectChange>& aChanges);
-  /// Calls to the store started to fail, or succeed again.
+  /// The store answered this VM, or the one that serves it, at aAnsweredAt.
+  void OnStoreAnswer(TimePoint aAnsweredAt);
+  /// Calls to the store started to fail, or succeed again. An outage counts from the store's last
+  /// answer. Entries can have lapsed only if the outage was long enough for that.
   void OnStoreReachable(TimePoint aNow, bool aReachable);
   /// Another VM reported whether its store state is steady. If so, the store is not down: entries
   /// missing there are gone, not lapsed.
   void OnPeerStoreStatus(TimePoint aNow, bool aSteady);
-  /// Whether the store answers this VM and has done so long enough for lapsed entries to be
-  /// registered again.
+  /// Whether the store answers this VM and, after an outage in which entries may have lapsed, has
+  /// done so long enough for them to be registered again.
   bool IsStoreSteady(TimePoint aNow) const;
   /// Whether another VM reported so recently.
   bool IsStoreSteadyAtPeer(TimePoint aNow) const;
@@ -133,8 +142,16 @@
   std::set<std::string> lapsed_; ///< Names of the entries that have a removal time.
   /// The usable instances, for views; null after one has changed.
   std::shared_ptr<const InstanceList> instanceList_;
+  FleetKeeperOptions options_;
   bool storeReachable_ = true;
+  std::optional<TimePoint> storeAnsweredAt_;
   std::optional<TimePoint> storeRegainedAt_;
+  TimePoint outageBegan_;
+  /// Length of the latest outages less the time in which the store answered, up to the time in
+  /// which an entry can lapse. Short outages in quick succession add up.
+  Duration recentOutage_{};
+  /// When the entries that lapsed in the latest outage are registered again.
+  std::optional<TimePoint> reregisteredBy_;
   std::optional<TimePoint> peerReportedSteadyAt_;
 };
 
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -99,7 +99,9 @@
   , store_(std::move(aStore))
   , metrics_(aMetrics)
   , publishView_(std::move(aPublishView))
-  , keeper_(std::move(aDecoders), MakeKeeperHooks(aMetrics))
+  , keeper_(std::move(aDecoders),
+            MakeKeeperHooks(aMetrics),
+            { .instanceReportPeriod = options_.instanceReportPeriod })
   , storeFollowing_(
       { .self = options_.self, .seeds = options_.seeds, .startedAt = ReadClocks().monotonic })
   , delegation_({ .ownDomain = options_.self.failureDomain })
@@ -187,6 +189,8 @@
         { { "kind", std::string(ToString(aKind)) }, { "error", aError->message } });
   }
   const TimePoint now = ReadClocks().monotonic;
+  if (!aError && aKind == ObjectKind::Instances)
+    keeper_.OnStoreAnswer(now);
   if (storeFollowing_.OnStoreCallEnd(now, aKind, !aError))
     ReportStoreReachable(storeFollowing_.IsStoreReachable() ? "store regained" : "store lost");
   if (!aError && !storeFollowing_.IsServedByFollower(now))
@@ -264,6 +268,12 @@
       listed = false;
       if (changes.error().kind == StoreError::Kind::HistoryGone)
         continue;
+      if (changes.error().kind == StoreError::Kind::Interrupted) {
+        // The list shows whether the store still answers.
+        metrics_.Count("store-watches-interrupted");
+        co_await Sleep(kFirstRetryWait);
+        continue;
+      }
       OnStoreCallEnd(aKind, changes.error());
       continue;
     }
@@ -474,6 +484,8 @@
     return;
   }
   keeper_.OnPeerStoreStatus(now, aReply.storeSteady);
+  if (aReply.storeReachable)
+    keeper_.OnStoreAnswer(now - aReply.answerAge);
   if (storeFollowing_.OnPeerAnswer(
         now, aPeer, aReply.storeReachable ? std::optional(aReply.answerAge) : std::nullopt))
     ReportStoreReachable("store reached through another vm");
--- a/lib/Net/Asio.cpp
+++ b/lib/Net/Asio.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymoor/Net/Asio.h"
 
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -73,4 +75,11 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool
+IsClosedByPeer(const error_code& aError)
+{
+  return aError == beast::http::error::end_of_stream || aError == asio::error::eof ||
+         aError == asio::error::connection_reset || aError == asio::error::broken_pipe;
+}
+
 } // namespace dfm
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Steering/FleetKeeper.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <set>
 
@@ -11,6 +12,10 @@
 /// returns.
 constexpr Duration kReregistrationTime = 2200ms;
 
+/// An entry is removed after three report periods without a report, the last of which may have come
+/// up to one period before an outage.
+constexpr int kReportPeriodsToLapse = 2;
+
 /// How long another VM's report that its store state is steady remains valid. While this VM cannot
 /// reach the store, it asks several times in this span.
 constexpr Duration kPeerReportLifetime = 1500ms;
@@ -35,9 +40,12 @@
   return "unknown";
 }
 
-FleetKeeper::FleetKeeper(ObjectDecoders aDecoders, FleetKeeperHooks aHooks)
+FleetKeeper::FleetKeeper(ObjectDecoders aDecoders,
+                         FleetKeeperHooks aHooks,
+                         FleetKeeperOptions aOptions)
   : decoders_(std::move(aDecoders))
   , hooks_(std::move(aHooks))
+  , options_(aOptions)
 {
 }
 
@@ -173,8 +181,7 @@
   Entry& entry = found->second;
   if (!IsStoreSteady(aNow) && !IsStoreSteadyAtPeer(aNow) && entry.instance &&
       !entry.instance->draining) {
-    const TimePoint from = storeReachable_ ? *storeRegainedAt_ : aNow;
-    entry.removeAt = from + kReregistrationTime;
+    entry.removeAt = storeReachable_ ? *reregisteredBy_ : aNow + kReregistrationTime;
     lapsed_.insert(aName);
     hooks_.instanceChanged(*entry.instance, "lapsed");
     return;
@@ -189,7 +196,7 @@
 bool
 FleetKeeper::IsStoreSteady(TimePoint aNow) const
 {
-  return storeReachable_ && (!storeRegainedAt_ || aNow - *storeRegainedAt_ >= kReregistrationTime);
+  return storeReachable_ && (!reregisteredBy_ || aNow >= *reregisteredBy_);
 }
 
 bool
@@ -205,15 +212,36 @@
     peerReportedSteadyAt_ = aNow;
 }
 
+void
+FleetKeeper::OnStoreAnswer(TimePoint aAnsweredAt)
+{
+  storeAnsweredAt_ = std::max(storeAnsweredAt_.value_or(aAnsweredAt), aAnsweredAt);
+}
+
 void
 FleetKeeper::OnStoreReachable(TimePoint aNow, bool aReachable)
 {
-  if (aReachable && !storeReachable_) {
-    storeRegainedAt_ = aNow;
-    for (const std::string& name : lapsed_)
-      instances_.at(name).removeAt = aNow + kReregistrationTime;
-  }
+  if (aReachable == storeReachable_)
+    return;
   storeReachable_ = aReachable;
+  if (!aReachable) {
+    outageBegan_ = storeAnsweredAt_.value_or(aNow);
+    const Duration answered = outageBegan_ - storeRegainedAt_.value_or(TimePoint{});
+    recentOutage_ -= std::clamp(answered, Duration{}, recentOutage_);
+    return;
+  }
+  const Duration outage = aNow - outageBegan_;
+  const Duration timeToLapse = kReportPeriodsToLapse * options_.instanceReportPeriod;
+  storeRegainedAt_ = aNow;
+  recentOutage_ = std::min(recentOutage_ + outage, timeToLapse);
+  const bool mayHaveLapsed = recentOutage_ == timeToLapse;
+  if (mayHaveLapsed)
+    reregisteredBy_ = aNow + kReregistrationTime;
+  for (const std::string& name : lapsed_) {
+    // Instances cannot register during the outage.
+    TimePoint& removeAt = *instances_.at(name).removeAt;
+    removeAt = mayHaveLapsed ? *reregisteredBy_ : removeAt + outage;
+  }
 }
 
 bool
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -632,6 +632,28 @@
   cr_assert(isServed("/new/1"));
 }
 
+/// Guards against requests to an instance that has left while the store cuts off waiting watches:
+/// each cut counted as the loss of the store, and the list after it as its return.
+Test(Gateway, StopsUsingARemovedInstanceWhileTheStoreCutsWatches)
+{
+  // Time within which requests to an instance that has left must end.
+  constexpr Duration kDrainTime = 2500ms;
+  ServingFixture fixture;
+  StandInInstance& leaving = fixture.firstInstance.ReceivedRequests().empty()
+                               ? fixture.secondInstance
+                               : fixture.firstInstance;
+  fixture.Store().CutWatchesAfter(200ms);
+  std::this_thread::sleep_for(1s);
+  fixture.Store().Delete("servers", leaving.Id());
+  std::this_thread::sleep_for(kDrainTime);
+  for (int i = 0; i < 10; ++i) {
+    const auto answer = fixture.Send(http::verb::post, "/order/1", "late");
+    cr_assert(answer && answer->result() == http::status::ok);
+  }
+  for (const Request& request : leaving.ReceivedRequests())
+    cr_assert(request["X-Request-Id"] != "late");
+}
+
 /// Guards against a VM that reports ready without a manifest, or answers 404 for routes that it
 /// does not know yet.
 Test(Gateway, IsNotReadyWithoutAManifest)
--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -362,8 +362,12 @@
   // Delays the answer to a watch that has no events, so that the client does not call in a busy
   // loop. Events that occur during the delay are reported to the next call of the client.
   if (!QueryValue(query, "watch").empty() &&
-      reaction.answer.body().find("\"events\":[]") != std::string::npos)
+      reaction.answer.body().find("\"events\":[]") != std::string::npos) {
+    const Duration limit = watchLimit_;
+    if (limit > Duration{})
+      return { .delay = limit, .closesWithoutAnswer = true };
     reaction.delay = 20ms;
+  }
   return reaction;
 }
 
--- a/unittests/Platform/StandIns.h
+++ b/unittests/Platform/StandIns.h
@@ -118,6 +118,8 @@
   /// Drops all events so far; a watch that starts at an earlier revision then gets status 410.
   void DropHistory();
   void SetMode(Mode aMode) { mode_ = aMode; }
+  /// Closes the connection of each watch that has waited for this long without an event.
+  void CutWatchesAfter(Duration aWait) { watchLimit_ = aWait; }
   bool Contains(const std::string& aKind, const std::string& aName);
   /// Number of HTTP requests to the store so far, in every mode.
   unsigned CallCount() const { return callCount_; }
@@ -149,6 +151,7 @@
   std::map<std::string, std::map<std::string, json::value>> objects_;
   std::vector<Event> events_;
   std::atomic<Mode> mode_ = Mode::Answering;
+  std::atomic<Duration> watchLimit_{};
   std::atomic<unsigned> callCount_ = 0;
   StandInServer server_;
 };
--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -49,6 +49,16 @@
     now += aDuration;
     keeper.OnTick(now);
   }
+  /// The store does not answer for aOutage, and then does for aAnswered.
+  void Interrupt(Duration aOutage, Duration aAnswered)
+  {
+    keeper.OnStoreAnswer(now);
+    keeper.OnStoreReachable(now + aOutage / 2, false);
+    now += aOutage;
+    keeper.OnStoreAnswer(now);
+    keeper.OnStoreReachable(now, true);
+    Advance(aAnswered);
+  }
 };
 
 struct ManifestCase
@@ -115,6 +125,45 @@
   cr_assert(not fixture.HasUsableInstance("i-2"));
 }
 
+/// Guards against requests to an instance that has left: each short interruption of the store gave
+/// a missing entry the whole time to be registered again, so that it was used for as long as the
+/// store came and went. An entry that lapsed in outages long enough for that is kept.
+Test(FleetKeeper, ShortInterruptionsOfTheStoreKeepNoRemovedInstance)
+{
+  struct Outages
+  {
+    Duration outage;
+    Duration answered;
+    int count;
+  };
+  struct Case
+  {
+    const char* name;
+    Outages before; ///< The removal of the entry.
+    Outages after;
+    bool kept;
+  };
+  const Case cases[] = {
+    { "a short one before", { 20ms, 1s, 1 }, { 20ms, 300ms, 1 }, false },
+    { "short ones throughout", { 20ms, 1s, 20 }, { 20ms, 980ms, 3 }, false },
+    { "a silent connection", { 1800ms, 100ms, 1 }, { 20ms, 300ms, 1 }, false },
+    { "short ones after an outage", { 5s, 100ms, 1 }, { 20ms, 480ms, 5 }, false },
+    { "an outage", { 5s, 100ms, 1 }, { 20ms, 1800ms, 1 }, true },
+    { "outages that add up", { 2s, 300ms, 3 }, { 20ms, 1800ms, 1 }, true },
+    { "an outage that goes on", { 5s, 100ms, 1 }, { 2s, 300ms, 3 }, true },
+  };
+  for (const Case& testCase : cases) {
+    Fixture fixture;
+    fixture.Set(ObjectKind::Instances, 1, { { "i-1", "ready" } });
+    for (int i = 0; i < testCase.before.count; ++i)
+      fixture.Interrupt(testCase.before.outage, testCase.before.answered);
+    fixture.Set(ObjectKind::Instances, 2, {});
+    for (int i = 0; i < testCase.after.count; ++i)
+      fixture.Interrupt(testCase.after.outage, testCase.after.answered);
+    cr_assert(fixture.HasUsableInstance("i-1") == testCase.kept, "%s", testCase.name);
+  }
+}
+
 /// Guards against a VM that starts while the store is away, gets its state from another VM, and
 /// uses an instance that has left or lapsed: that VM keeps lapsed instances for a while.
 Test(FleetKeeper, StartedVmUsesNoRemovedInstances)
