Ask other regions about lapsed entries after a cut

Cause: after a cut of its failure domain a follower regained the store up to a second late and kept entries that were missing by then for 2.2 s more, although VMs elsewhere, which the store had answered all the time, knew them to be gone. A VM without the store asks others; a follower that has regained it asks nobody.

While a VM keeps lapsed entries it asks VMs of all regions, and is not redirected to delegates, which know no more than itself.

Failed before: StoreFollowing/FollowerWithLapsedEntriesAsksOtherRegions (the follower asks nobody; the argument is new).

--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -97,6 +97,9 @@
   bool IsStoreSteady(TimePoint aNow) const;
   /// Whether another VM reported so recently.
   bool IsStoreSteadyAtPeer(TimePoint aNow) const;
+  /// Whether instances are kept whose entries are missing. Another VM may know from a steady store
+  /// that they are gone.
+  bool HasLapsedEntries() const { return !lapsed_.empty(); }
   /// Removes instances whose time to register again is over. True when there were any.
   bool OnTick(TimePoint aNow);
 
--- a/include/dragonflymoor/Steering/StoreFollowing.h
+++ b/include/dragonflymoor/Steering/StoreFollowing.h
@@ -81,7 +81,11 @@
   bool MustListVms(TimePoint aNow) const;
 
   /// Peers of which one is to be asked for the fleet state; empty for a VM that follows the store.
-  std::vector<Endpoint> PeersToAsk(TimePoint aNow, const std::vector<Vm>& aRegistered) const;
+  /// With aHasLapsedEntries it asks too: a VM that the store has answered all the time knows which
+  /// of them are gone.
+  std::vector<Endpoint> PeersToAsk(TimePoint aNow,
+                                   const std::vector<Vm>& aRegistered,
+                                   bool aHasLapsedEntries = false) const;
 
   /// Whether peers may name others in their place. A VM that has lost the store asks any VM, and a
   /// follower is asked by others: those that they are directed to might rely on them.
@@ -115,6 +119,9 @@
   /// The follower that this VM asks, one without a recent fault if there is any. A follower asks
   /// the first one before it, so that no two rely on each other and chains stay short.
   std::vector<Endpoint> FollowersToAsk(TimePoint aNow) const;
+  /// Followers of all regions without a recent fault, or the live VMs if there are none. Some of
+  /// them reach the store when the failure domain or region of this VM is cut off.
+  std::vector<Endpoint> PeersOfAllRegions(TimePoint aNow) const;
   /// Makes PreferredPeer() choose another peer than aPeer.
   void RotatePeers(const Endpoint& aPeer);
   bool MustAskDelegate(TimePoint aNow) const;
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -328,7 +328,8 @@
 FleetSync::PollPeers()
 {
   for (;;) {
-    const auto peers = storeFollowing_.PeersToAsk(ReadClocks().monotonic, registeredVms_);
+    const auto peers = storeFollowing_.PeersToAsk(
+      ReadClocks().monotonic, registeredVms_, keeper_.HasLapsedEntries());
     bool redirected = false;
     if (!peers.empty())
       redirected = co_await RequestState(peers[random_.Below(peers.size())]);
@@ -362,7 +363,8 @@
 FleetSync::RequestState(Endpoint aPeer)
 {
   StateRequest request;
-  if (storeFollowing_.MayBeRedirected(ReadClocks().monotonic)) {
+  // Delegates do not tell whether the store is steady.
+  if (!keeper_.HasLapsedEntries() && storeFollowing_.MayBeRedirected(ReadClocks().monotonic)) {
     request.domain = options_.self.failureDomain;
     request.peers = options_.self.peers;
   }
--- a/lib/Steering/StoreFollowing.cpp
+++ b/lib/Steering/StoreFollowing.cpp
@@ -283,7 +283,9 @@
 }
 
 std::vector<Endpoint>
-StoreFollowing::PeersToAsk(TimePoint aNow, const std::vector<Vm>& aRegistered) const
+StoreFollowing::PeersToAsk(TimePoint aNow,
+                           const std::vector<Vm>& aRegistered,
+                           bool aHasLapsedEntries) const
 {
   std::vector<Endpoint> peers;
   const auto add = [&peers](const std::vector<Vm>& aVms) {
@@ -291,17 +293,8 @@
       peers.push_back(vm.peers);
   };
   const bool membersKnown = liveVms_.size() > 1;
-  if (membersKnown && IsStateStale(aNow)) {
-    add(followers_);
-    add(followersOfOtherRegions_);
-    std::erase_if(peers, [this, aNow](const Endpoint& aPeer) {
-      return aPeer == options_.self.peers || HasRecentFault(aNow, aPeer);
-    });
-    if (peers.empty())
-      add(liveVms_);
-    std::erase(peers, options_.self.peers);
-    return peers;
-  }
+  if (membersKnown && (IsStateStale(aNow) || (aHasLapsedEntries && IsStoreReachable())))
+    return PeersOfAllRegions(aNow);
   if (IsStoreReachable()) {
     if (IsFollower(aNow))
       return {};
@@ -322,6 +315,26 @@
   return peers;
 }
 
+std::vector<Endpoint>
+StoreFollowing::PeersOfAllRegions(TimePoint aNow) const
+{
+  std::vector<Endpoint> peers;
+  for (const std::vector<Vm>* const vms : { &followers_, &followersOfOtherRegions_ }) {
+    for (const Vm& vm : *vms)
+      peers.push_back(vm.peers);
+  }
+  std::erase_if(peers, [this, aNow](const Endpoint& aPeer) {
+    return aPeer == options_.self.peers || HasRecentFault(aNow, aPeer);
+  });
+  if (!peers.empty())
+    return peers;
+  for (const Vm& vm : liveVms_) {
+    if (vm.id != options_.self.id)
+      peers.push_back(vm.peers);
+  }
+  return peers;
+}
+
 void
 StoreFollowing::OnDelegates(TimePoint aNow, std::vector<Endpoint> aDelegates)
 {
--- a/unittests/Steering/StoreFollowingTest.cpp
+++ b/unittests/Steering/StoreFollowingTest.cpp
@@ -396,6 +396,34 @@
   }
 }
 
+/// Guards against requests to instances that have left, from a follower that was cut off: it
+/// regained the store first and asked no VM that had seen their entries removed, but waited until
+/// they could have been registered again.
+Test(StoreFollowing, FollowerWithLapsedEntriesAsksOtherRegions)
+{
+  const Vm self{ .id = VmId("vm-1"),
+                 .region = RegionId("north"),
+                 .peers = { .address = "10.0.0.1", .port = 1 } };
+  const Vm other{ .id = VmId("vm-2"),
+                  .region = RegionId("south"),
+                  .peers = { .address = "10.0.0.2", .port = 1 } };
+  TimePoint now{ 100s };
+  StoreFollowing following({ .self = self, .seeds = { self.peers }, .startedAt = now });
+  following.OnMembershipChange(now, { self, other });
+  now += 10s;
+  const auto endCalls = [&](bool aAnswered) {
+    for (size_t i = 0; i < kObjectKindCount; ++i)
+      following.OnStoreCallEnd(now, static_cast<ObjectKind>(i), aAnswered);
+  };
+  endCalls(true);
+  endCalls(false);
+  now += 5s;
+  endCalls(true);
+  const std::vector<Endpoint> others{ other.peers };
+  cr_assert(following.PeersToAsk(now, {}, false).empty());
+  cr_assert(following.PeersToAsk(now, {}, true) == others);
+}
+
 /// Guards against changes that reach the other VMs too late after the VMs that call the store died,
 /// or while the store refuses them.
 Test(StoreFollowing, ChangesReachEveryVmInTime)
