Do not blame requests for the crash of an instance that survived them

A request that was in flight on three instances which another request crashed was refused for 60 s, although it ran to its end when it was repeated elsewhere: each request that broke with a crashed instance counted.

A request that an instance has run to its end in the last 5 to 10 s is not counted, and what was counted for it before is dropped. Weighed: counting only the request that was sent last, which is wrong when it waits at the instance, and telling the other VMs of each survivor, which needs a new message; they hear of a request only when it has not succeeded at the VM that reports it.

Failed before: Dispatcher/DoesNotQuarantineRequestsThatAnotherOneBrokeOff.

--- a/include/dragonflymoor/Recovery/CrashRegistry.h
+++ b/include/dragonflymoor/Recovery/CrashRegistry.h
@@ -37,6 +37,9 @@
   /// Handles a report from another VM. Returns false if it was a repeat, which is not counted.
   bool OnReport(TimePoint aNow, const CrashReport& aReport);
 
+  /// A server ran the request and survived it: the crashes counted so far were caused by others.
+  void OnSurvived(const WorkspaceId& aWorkspace, uint64_t aFingerprint);
+
   /// Reports of all crashes within the last blockDuration, for a VM that has just started.
   std::vector<CrashReport> Reports(TimePoint aNow) const;
 
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -9,6 +9,7 @@
 #include "dragonflymoor/Steering/LeavingRuns.h"
 #include "dragonflymoor/Steering/ObjectCounter.h"
 #include "dragonflymoor/Steering/PeerLoads.h"
+#include "dragonflymoor/Steering/RecentFingerprints.h"
 #include "dragonflymoor/Steering/ReturnSchedule.h"
 #include "dragonflymoor/Steering/ShiftLimit.h"
 #include "dragonflymoor/Steering/SpillControl.h"
@@ -301,6 +302,8 @@
   static bool HasFreeSlot(TimePoint aNow, const ServiceState& aState);
   /// Passes the sums of the other VMs' requests at aInstances to their trackers.
   void ApplyPeerLoads(const std::vector<uint32_t>& aInstances);
+  /// Counts a crash for the requests that aInstance, which is gone, broke off, except for those
+  /// that ran to their end a moment ago: the instance crashed on another one.
   void ReportCrashes(TimePoint aNow, InstanceTracker& aInstance);
   void AbandonAttempts(const BackendId& aInstance);
   bool MayRetry(TimePoint aNow, const Request& aRequest, const AttemptEndReport& aReport);
@@ -347,6 +350,7 @@
   ShiftLimit shifts_;
   RetryBudget retries_;
   CrashRegistry crashes_;
+  RecentFingerprints survived_; ///< Of requests that did not crash the instance that ran them.
   TimePoint nextBalance_;
   TimePoint nextSilenceCheck_;
   TimePoint nextClaimUpdate_;
--- a/lib/Recovery/CrashRegistry.cpp
+++ b/lib/Recovery/CrashRegistry.cpp
@@ -43,6 +43,19 @@
   return true;
 }
 
+void
+CrashRegistry::OnSurvived(const WorkspaceId& aWorkspace, uint64_t aFingerprint)
+{
+  const auto workspace = workspaces_.find(aWorkspace);
+  if (workspace == workspaces_.end())
+    return;
+  for (auto* const entries : { &workspace->second.suspects, &workspace->second.blocked }) {
+    const auto known = FindFingerprint(*entries, aFingerprint);
+    if (known != entries->end())
+      entries->erase(known);
+  }
+}
+
 std::vector<CrashReport>
 CrashRegistry::Reports(TimePoint aNow) const
 {
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -216,8 +216,10 @@
 void
 Dispatcher::ReportCrashes(TimePoint aNow, InstanceTracker& aInstance)
 {
-  for (const uint64_t fingerprint : aInstance.TakeCrashSuspects(aNow))
-    hooks_.publishCrash(crashes_.OnCrash(aNow, {}, fingerprint));
+  for (const uint64_t fingerprint : aInstance.TakeCrashSuspects(aNow)) {
+    if (!survived_.Contains(aNow, fingerprint))
+      hooks_.publishCrash(crashes_.OnCrash(aNow, {}, fingerprint));
+  }
 }
 
 void
@@ -231,6 +233,8 @@
   aInstance.OnEnd();
   switch (aReport.kind) {
     case Kind::Answered:
+      survived_.Add(aNow, aRequest.spec.fingerprint);
+      crashes_.OnSurvived({}, aRequest.spec.fingerprint);
       if (aReport.status >= 500) {
         aInstance.OnFailure(aNow, false);
         return;
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -329,6 +329,32 @@
   cr_assert(fixture.running.contains(other));
 }
 
+/// Guards against refusing requests that were only in flight, each time, on an instance that
+/// another request crashed: repeated elsewhere they run to their end.
+Test(Dispatcher, DoesNotQuarantineRequestsThatAnotherOneBrokeOff)
+{
+  DispatcherFixture fixture;
+  constexpr uint64_t kPoison = 77;
+  constexpr uint64_t kUsual = 5;
+  for (uint64_t run = 1; run <= 3; ++run) {
+    fixture.SetFleet({ { .id = "i-1", .born = run }, { .id = "i-2", .domain = "north-b" } });
+    const Ticket usual = fixture.Submit({}, 1, kUsual);
+    const BackendId crashing = fixture.running[usual].instance;
+    const Ticket poison = fixture.Submit({ .maxAttempts = 1 }, 1, kPoison);
+    cr_assert(fixture.running[poison].instance == crashing);
+    fixture.End(poison, Kind::Broken, 0, true);
+    cr_assert(fixture.End(usual, Kind::Broken, 0, true) == Verdict::Retry);
+    cr_assert(fixture.running[usual].instance != crashing);
+    cr_assert(fixture.End(usual, Kind::Answered, 200) == Verdict::Deliver);
+    fixture.dispatcher.OnProbe(fixture.now, crashing, ProbeResult::Unreachable, {});
+    fixture.dispatcher.OnProbe(fixture.now, crashing, ProbeResult::Healthy, {});
+  }
+  const Ticket poisonAgain = fixture.Submit({}, 1, kPoison);
+  cr_assert(fixture.refused.contains(poisonAgain));
+  const Ticket usualAgain = fixture.Submit({}, 1, kUsual);
+  cr_assert(fixture.running.contains(usualAgain));
+}
+
 /// Guards against new requests to an instance that stopped answering, and against idempotent
 /// requests that stay there instead of being retried elsewhere.
 Test(Dispatcher, ChecksASilentInstanceAndMovesItsRequests)
