Check at once whether a request crashed its instance

Cause: a broken connection made the request a suspect, which counted when a connect to the instance failed within 1 s; nothing caused that connect but other requests.

A health check of the instance is due 0.1 s after the break, unless another request has met the missing instance by then. Only a refused connect confirms the crash and takes an instance that is up out of use: one that closes surplus connections, or fails or delays health checks, may serve requests. A connection that a time-out of this VM ended makes no suspect. A new run under the same id confirms too.

--- a/include/dragonflymoor/Gateway/InstanceClient.h
+++ b/include/dragonflymoor/Gateway/InstanceClient.h
@@ -118,7 +118,7 @@
   ConnectionPtr TakeIdleConnection(const InstanceAttempt& aAttempt);
   asio::awaitable<ConnectionPtr> Connect(const Endpoint& aEndpoint,
                                          ExchangeControl& aControl,
-                                         std::string& aError);
+                                         error_code& aError);
   /// Reads the rest of an answer whose header aParser has. Returns an error text, which is empty
   /// when the answer is complete.
   asio::awaitable<std::string> ReadBody(Connection& aConnection,
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -75,7 +75,7 @@
   Kind kind = Kind::Broken;
   unsigned status = 0;        ///< Of the answer, when there is one.
   bool wrongInstance = false; ///< Another instance has the address now.
-  bool reset = false;         ///< The connection ended before the first byte of an answer.
+  bool reset = false; ///< The instance ended the connection before the first byte of an answer.
   Duration latency{};
 };
 
@@ -338,7 +338,7 @@
   // Most instances have no request of this VM, are healthy and warm, so the periodic checks pass
   // over the others only. The indexes are by the hash of the id.
   std::map<uint64_t, InstanceTracker*> instancesInUse_;   ///< Have requests of this VM in flight.
-  std::map<uint64_t, InstanceTracker*> instancesDown_;    ///< Get health checks.
+  std::map<uint64_t, InstanceTracker*> instancesChecked_; ///< Get health checks.
   std::map<uint64_t, InstanceTracker*> instancesCold_;    ///< Were cold at their last change.
   std::map<uint64_t, InstanceTracker*> instancesLimited_; ///< Stated a rate that they take.
   LeavingRuns leavingRuns_;
--- a/include/dragonflymoor/Steering/InstanceTracker.h
+++ b/include/dragonflymoor/Steering/InstanceTracker.h
@@ -35,7 +35,9 @@
   Healthy,
   Unhealthy,   ///< The instance is leaving, failing, or another one has its address.
   Unanswered,  ///< A connection opened, but no answer came: all slots may be in use.
-  Unreachable, ///< No connection could be opened.
+  Unreachable, ///< No connection could be opened in time.
+  Refused,     ///< Nothing listens at the address.
+  Closed,      ///< A connection opened, but was closed without an answer.
 };
 
 /// What this VM knows of one instance: requests in flight, health, and its part of the rate that a
@@ -90,15 +92,21 @@
   void OnFailure(TimePoint aNow, bool aShed);
   /// A connect failed or a connection broke: the instance is down until a health check passes.
   void OnUnreachable(TimePoint aNow);
-  /// A health check ended; aColdLeft is the remaining cold time that the instance reported.
+  /// A health check ended; aColdLeft is the remaining cold time that the instance reported. An
+  /// instance that is up remains so unless it is surely gone: it may serve requests although it
+  /// fails or delays health checks.
   void OnProbe(TimePoint aNow, ProbeResult aResult, Duration aColdLeft);
-  /// When the next health check is due; empty while the instance is not down.
+  bool IsDown() const { return down_; }
+  /// When the next health check is due; empty while the instance is neither down nor suspected to
+  /// have crashed.
   std::optional<TimePoint> NextProbeTime() const;
   void OnProbeSent(TimePoint aNow);
 
   /// Fingerprints of requests on which the instance broke its connection shortly before aNow. They
   /// may have crashed it, if it turns out to be gone.
   std::vector<uint64_t> TakeCrashSuspects(TimePoint aNow);
+  /// Makes a health check due that shows whether the instance is gone: without other requests
+  /// nothing else would.
   void AddCrashSuspect(TimePoint aNow, uint64_t aFingerprint);
 
   /// Requests of all other VMs at this instance.
@@ -111,6 +119,7 @@
 private:
   /// Adds what the cold rate has allowed since the last call.
   void RefillColdBucket(TimePoint aNow) const;
+  void DropCrashSuspects();
 
   Instance spec_;
   uint64_t idHash_ = 0;
@@ -136,6 +145,7 @@
     uint64_t fingerprint = 0;
   };
   std::vector<CrashSuspect> crashSuspects_; ///< Bounded; the oldest first.
+  std::optional<TimePoint> crashCheckTime_; ///< When the health check for them is due.
   bool down_ = false;
   unsigned failedProbes_ = 0;
   TimePoint nextProbeTime_;
--- a/lib/Gateway/InstanceClient.cpp
+++ b/lib/Gateway/InstanceClient.cpp
@@ -137,18 +137,16 @@
 }
 
 asio::awaitable<InstanceClient::ConnectionPtr>
-InstanceClient::Connect(const Endpoint& aEndpoint, ExchangeControl& aControl, std::string& aError)
+InstanceClient::Connect(const Endpoint& aEndpoint, ExchangeControl& aControl, error_code& aError)
 {
   auto connection = std::make_shared<Connection>(context_);
   connection->endpoint = aEndpoint;
   const tcp::endpoint target = ToTcp(aEndpoint);
   aControl.socket_ = &connection->socket;
   aControl.connectDeadline_ = ReadClocks().monotonic + kConnectTimeout;
-  error_code openError;
-  connection->socket.open(target.protocol(), openError);
-  if (openError) {
+  connection->socket.open(target.protocol(), aError);
+  if (aError) {
     aControl.socket_ = nullptr;
-    aError = openError.message();
     co_return nullptr;
   }
   SetLiveness(connection->socket);
@@ -156,7 +154,7 @@
   aControl.connectDeadline_.reset();
   if (error || aControl.GetCloseReason() != ExchangeControl::CloseReason::None) {
     aControl.socket_ = nullptr;
-    aError = error ? error.message() : "closed";
+    aError = error ? error : make_error_code(asio::error::operation_aborted);
     co_return nullptr;
   }
   metrics_.Count("instance-connects");
@@ -213,7 +211,7 @@
       aResult.error = headError.message();
       const bool nothingRead =
         headBytes == 0 && aConnection->buffer.size() == 0 && foreignAnswers == 0;
-      aResult.report.reset = nothingRead;
+      aResult.report.reset = nothingRead && IsClosedByPeer(headError);
       if (nothingRead && writeState->done && writeState->error && writeState->bytes == 0)
         aResult.report.kind = AttemptEndReport::Kind::NotSent;
       co_return;
@@ -301,9 +299,10 @@
   activeControls_.insert(aControl);
   ConnectionPtr connection = TakeIdleConnection(aAttempt);
   if (connection == nullptr) {
-    std::string error;
+    error_code error;
     connection = co_await Connect(aAttempt.endpoint, *aControl, error);
-    result.error = error;
+    if (error)
+      result.error = error.message();
   }
   bool reusable = false;
   if (connection == nullptr || aControl->GetCloseReason() != ExchangeControl::CloseReason::None) {
@@ -347,8 +346,10 @@
   control->deadline_ = ReadClocks().monotonic + kProbeTimeout;
   activeControls_.insert(control);
   HealthResult health;
-  std::string error;
+  error_code error;
   ConnectionPtr connection = co_await Connect(aInstance.endpoint, *control, error);
+  if (error == asio::error::connection_refused)
+    health.result = ProbeResult::Refused;
   if (connection != nullptr) {
     health.result = ProbeResult::Unanswered;
     const auto message = std::make_shared<InstanceRequest>(http::verb::get, aHealthPath, 11);
@@ -372,7 +373,7 @@
         health.result =
           head.notExecuted && isExpectedInstance ? ProbeResult::Unanswered : ProbeResult::Unhealthy;
     } else if (control->GetCloseReason() == ExchangeControl::CloseReason::None) {
-      health.result = ProbeResult::Unreachable;
+      health.result = ProbeResult::Closed;
     }
   }
   if (connection != nullptr) {
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -343,11 +343,15 @@
   InstanceTracker* const instance = FindInstance(aInstance);
   if (instance == nullptr)
     return;
+  const bool wasDown = instance->IsDown();
+  const bool isGone =
+    aResult == ProbeResult::Refused ||
+    (wasDown && (aResult == ProbeResult::Unreachable || aResult == ProbeResult::Closed));
   instance->OnProbe(aNow, aResult, aColdLeft);
   if (instance->IsCold(aNow))
     instance->SetColdRate(aNow, ColdRateFor(instance->Spec()));
   UpdateIndexes(aNow, *instance);
-  if (aResult == ProbeResult::Unreachable) {
+  if (isGone) {
     ReportCrashes(aNow, *instance);
     AbandonAttempts(aInstance);
     return;
@@ -431,7 +435,7 @@
     if (aNow - instance->LastResponseTime() <= maxSilence)
       continue;
     instance->OnUnreachable(aNow);
-    instancesDown_.insert_or_assign(hash, instance);
+    instancesChecked_.insert_or_assign(hash, instance);
   }
 }
 
@@ -442,7 +446,7 @@
     return;
   const auto& specs = view_->routes->GetManifest().services;
   std::vector<InstanceTracker*> due;
-  for (const auto& [hash, instance] : instancesDown_) {
+  for (const auto& [hash, instance] : instancesChecked_) {
     const auto probeTime = instance->NextProbeTime();
     if (probeTime && *probeTime <= aNow && specs.contains(instance->Spec().service) &&
         !instance->IsLeaving())
@@ -450,6 +454,7 @@
   }
   for (InstanceTracker* const instance : due) {
     instance->OnProbeSent(aNow);
+    UpdateIndexes(aNow, *instance);
     hooks_.sendProbe(instance->Spec(), specs.at(instance->Spec().service));
   }
 }
--- a/lib/Steering/FleetChanges.cpp
+++ b/lib/Steering/FleetChanges.cpp
@@ -29,6 +29,8 @@
     AddCandidate(*tracker);
   } else {
     const Instance& known = tracker->Spec();
+    if (known.startTimeMs != aInstance.startTimeMs)
+      ReportCrashes(aNow, *tracker);
     const bool moved = known.service != aInstance.service || known.region != aInstance.region ||
                        known.failureDomain != aInstance.failureDomain;
     if (moved)
@@ -56,7 +58,7 @@
   if (byLoadKey != trackersByLoadKey_.end() && byLoadKey->second == &tracker)
     trackersByLoadKey_.erase(byLoadKey);
   for (auto* const index :
-       { &instancesInUse_, &instancesDown_, &instancesCold_, &instancesLimited_ })
+       { &instancesInUse_, &instancesChecked_, &instancesCold_, &instancesLimited_ })
     index->erase(tracker.IdHash());
   trackers_.erase(found);
 }
@@ -125,7 +127,7 @@
       aIndex.erase(aInstance.IdHash());
   };
   update(instancesInUse_, aInstance.OwnInFlight() > 0);
-  update(instancesDown_, aInstance.NextProbeTime().has_value());
+  update(instancesChecked_, aInstance.NextProbeTime().has_value());
   update(instancesCold_, aInstance.IsCold(aNow));
   update(instancesLimited_, aInstance.Rate().Limit().has_value());
 }
--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -30,6 +30,10 @@
 /// A connect that fails within this time after a broken connection shows that the instance crashed.
 constexpr Duration kCrashConfirmTime = 1s;
 
+/// Wait before the health check that shows whether an instance crashed. Other requests often show
+/// it sooner.
+constexpr Duration kCrashCheckWait = 100ms;
+
 /// More requests than an instance has slots are never in flight at a crash for long.
 constexpr size_t kMaxCrashSuspects = 32;
 
@@ -233,8 +237,14 @@
   spec_.coldUntil = std::max(spec_.coldUntil, aNow + aColdLeft);
   if (aResult == ProbeResult::Healthy || aResult == ProbeResult::Unanswered) {
     down_ = false;
+    DropCrashSuspects();
+    return;
+  }
+  if (!down_ && aResult != ProbeResult::Refused) {
+    DropCrashSuspects();
     return;
   }
+  OnUnreachable(aNow);
   const unsigned doublings = std::min(++failedProbes_, 8U);
   nextProbeTime_ =
     std::max(aNow + std::min(kFirstProbeWait * (1 << doublings), kMaxProbeWait), pausedUntil_);
@@ -248,22 +258,31 @@
     if (aNow - suspect.brokenAt < kCrashConfirmTime)
       fingerprints.push_back(suspect.fingerprint);
   }
-  crashSuspects_.clear();
+  DropCrashSuspects();
   return fingerprints;
 }
 
+void
+InstanceTracker::DropCrashSuspects()
+{
+  crashSuspects_.clear();
+  crashCheckTime_.reset();
+}
+
 void
 InstanceTracker::AddCrashSuspect(TimePoint aNow, uint64_t aFingerprint)
 {
   if (crashSuspects_.size() == kMaxCrashSuspects)
     crashSuspects_.erase(crashSuspects_.begin());
   crashSuspects_.push_back({ .brokenAt = aNow, .fingerprint = aFingerprint });
+  if (!crashCheckTime_ && pausedUntil_ <= aNow)
+    crashCheckTime_ = aNow + kCrashCheckWait;
 }
 
 std::optional<TimePoint>
 InstanceTracker::NextProbeTime() const
 {
-  return down_ ? std::optional(nextProbeTime_) : std::nullopt;
+  return down_ ? std::optional(nextProbeTime_) : crashCheckTime_;
 }
 
 void
@@ -271,6 +290,7 @@
 {
   // Schedules a further check in case the answer to this one is lost.
   nextProbeTime_ = aNow + 2 * kMaxProbeWait;
+  crashCheckTime_.reset();
 }
 
 } // namespace dfm
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -346,7 +346,7 @@
     cr_assert(fixture.End(usual, Kind::Broken, 0, true) == Verdict::Retry);
     cr_assert(fixture.running[usual].instance != crashing);
     cr_assert(fixture.End(usual, Kind::Answered, 200) == Verdict::Deliver);
-    fixture.dispatcher.OnProbe(fixture.now, crashing, ProbeResult::Unreachable, {});
+    fixture.dispatcher.OnProbe(fixture.now, crashing, ProbeResult::Refused, {});
     fixture.dispatcher.OnProbe(fixture.now, crashing, ProbeResult::Healthy, {});
   }
   const Ticket poisonAgain = fixture.Submit({}, 1, kPoison);
@@ -355,6 +355,52 @@
   cr_assert(fixture.running.contains(usualAgain));
 }
 
+/// Guards against a request that crashes instances for ever while there are few others: a crash
+/// counted only if another request met the missing instance within a second.
+Test(Dispatcher, ChecksWhetherARequestCrashedItsInstance)
+{
+  struct Case
+  {
+    const char* name;
+    ProbeResult result;
+    bool crashed;
+    bool stillUsed; ///< Whether the instance gets the next request.
+  };
+  static const Case kCases[] = {
+    { "nothing listens", ProbeResult::Refused, true, false },
+    { "healthy", ProbeResult::Healthy, false, true },
+    { "unhealthy", ProbeResult::Unhealthy, false, true },
+    { "all slots in use", ProbeResult::Unanswered, false, true },
+    { "too many connections", ProbeResult::Closed, false, true },
+    { "no connection in time", ProbeResult::Unreachable, false, true },
+  };
+  constexpr uint64_t kPoison = 77;
+  for (const Case& testCase : kCases) {
+    DispatcherFixture fixture;
+    for (size_t run = 1; run <= 3; ++run) {
+      fixture.SetFleet({ { .id = "i-1", .born = run } });
+      const Ticket ticket = fixture.Submit({ .maxAttempts = 1 }, 1, kPoison);
+      cr_assert(fixture.running.contains(ticket), "%s", testCase.name);
+      fixture.End(ticket, Kind::Broken, 0, true);
+      fixture.Advance(200ms);
+      cr_assert(fixture.probed.size() == run, "%s", testCase.name);
+      fixture.dispatcher.OnProbe(fixture.now, BackendId("i-1"), testCase.result, {});
+      cr_assert(fixture.crashes.size() == (testCase.crashed ? run : 0), "%s", testCase.name);
+      fixture.Advance(100ms);
+      cr_assert(fixture.probed.size() == run, "%s", testCase.name);
+      const Ticket next = fixture.Submit({ .maxAttempts = 1 }, 1, run);
+      cr_assert(fixture.running.contains(next) == testCase.stillUsed, "%s", testCase.name);
+      if (testCase.stillUsed)
+        fixture.End(next, Kind::Answered, 200);
+      else
+        fixture.dispatcher.Cancel(fixture.now, next);
+    }
+    fixture.SetFleet({ { .id = "i-1", .born = 9 } });
+    const Ticket again = fixture.Submit({}, 1, kPoison);
+    cr_assert(fixture.refused.contains(again) == testCase.crashed, "%s", testCase.name);
+  }
+}
+
 /// Guards against new requests to an instance that stopped answering, and against idempotent
 /// requests that stay there instead of being retried elsewhere.
 Test(Dispatcher, ChecksASilentInstanceAndMovesItsRequests)
