Pass nothing on that a planned stop would cut off

Reported by operators: orders that came late in the stop time were passed on and cut off with no answer.

Cause: a stop ended accepting connections, but a request on a connection that was still sending it was passed on like any other, whatever time was left. Ruled out: a stop that ends early, and requests that waited for a slot; the test has free slots and the instance gets the order 3.3 s into the stop.

From 3 s after the beginning of a stop no attempt starts, and before that only one whose service usually answers in the time left, or in half of it for a request that must not be repeated. New, waiting and repeated requests are held to it; the others get 503 at once, and may come back at once as other VMs serve them.

Failed before: Gateway/PlannedStopPassesNoRequestOnThatItWouldCutOff. The two tests of the dispatcher need the new function. Gateway/PlannedStopServesARequestThatIsArriving still holds.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -89,6 +89,7 @@
   NoInstance, ///< No usable instance is known.
   Quarantine, ///< The request crashed several instances.
   TimedOut,   ///< The deadline came while the request waited.
+  Stopping,   ///< This VM stops before the request could be answered.
 };
 
 std::string_view
@@ -133,6 +134,15 @@
   SpillOptions spill;
 };
 
+/// The planned stop of this VM, whose process ends at `end` whatever is still in flight.
+struct StopSchedule
+{
+  TimePoint lastStart; ///< No attempt starts from then on.
+  TimePoint end;       ///< An attempt that is not expected to be answered by then does not start.
+
+  auto operator<=>(const StopSchedule&) const = default;
+};
+
 /// Callbacks of the dispatcher. None may call the dispatcher again before it returns.
 struct DispatcherHooks
 {
@@ -160,6 +170,9 @@
 
   /// Accepts a request; startAttempt or refuseRequest follows, possibly before this returns.
   void Submit(TimePoint aNow, Ticket aTicket, RequestSpec aSpec);
+  /// From now on, requests that this VM cannot answer before it stops are refused at once, those
+  /// that wait included: nobody would answer a request that it passed on.
+  void BeginStop(const StopSchedule& aSchedule) { stop_ = aSchedule; }
   /// The caller left. No hook is called for the request any more. The code that owns the dispatcher
   /// ends an attempt in flight without calling OnAttemptEnd.
   void Cancel(TimePoint aNow, Ticket aTicket);
@@ -306,6 +319,8 @@
   /// that ran to their end a moment ago: the instance crashed on another one.
   void ReportCrashes(TimePoint aNow, InstanceTracker& aInstance);
   void AbandonAttempts(const BackendId& aInstance);
+  /// Whether an attempt that starts now can be answered before this VM stops.
+  bool EndsBeforeStop(TimePoint aNow, const Route& aRoute, const ServiceState& aService) const;
   bool MayRetry(TimePoint aNow, const Request& aRequest, const AttemptEndReport& aReport);
   /// Updates the health, load and latency of aInstance from the end of an attempt there.
   void RecordAttemptEnd(TimePoint aNow,
@@ -351,6 +366,7 @@
   RetryBudget retries_;
   CrashRegistry crashes_;
   RecentFingerprints survived_; ///< Of requests that did not crash the instance that ran them.
+  std::optional<StopSchedule> stop_;
   TimePoint nextBalance_;
   TimePoint nextSilenceCheck_;
   TimePoint nextClaimUpdate_;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -43,6 +43,10 @@
 constexpr Duration kCloseIdleDelay = 2s;
 constexpr Duration kStopAcceptingDelay = 2500ms;
 
+/// Delay from the beginning of a graceful stop until this VM passes no more requests on. Only those
+/// that are sent within this time may be cut off by the end of the stop.
+constexpr Duration kLastStartDelay = 3s;
+
 /// Part of the stop time that is reserved for the exit itself, because the platform kills the
 /// process at the end of the stop time.
 constexpr Duration kExitMargin = 400ms;
@@ -409,6 +413,8 @@
       "graceful stop begins",
       { { "unanswered", std::to_string(callerFront.UnansweredRequestCount()) } });
   callerFront.BeginStop();
+  dispatcher.BeginStop({ .lastStart = *stopBeginTime + kLastStartDelay,
+                         .end = *stopBeginTime + settings.stopTime - kExitMargin });
   asio::post(controlContext, [this] { fleetSync.BeginStop(); });
 }
 
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -43,6 +43,11 @@
 /// answers.
 constexpr double kLatencyWeight = 0.03;
 
+/// Parts of the usual latency that have to be left until a planned stop ends. A request that is not
+/// idempotent cannot be repeated when it is cut off, and some answers take longer than usual.
+constexpr double kMinStopTimeShare = 1;
+constexpr double kMinNonIdempotentStopTimeShare = 2;
+
 /// A request that crashed this many instances is not sent to another one.
 constexpr CrashRegistryOptions kCrashOptions{ .crashesToBlock = 3, .blockDuration = 60s };
 
@@ -80,6 +85,8 @@
       return "quarantine";
     case RefusalReason::TimedOut:
       return "timed-out";
+    case RefusalReason::Stopping:
+      return "stopping";
   }
   return "unknown";
 }
@@ -154,15 +161,32 @@
     Refuse(aNow, aTicket, RefusalReason::Quarantine);
     return;
   }
+  if (!EndsBeforeStop(aNow, *stored.spec.route, state)) {
+    Refuse(aNow, aTicket, RefusalReason::Stopping);
+    return;
+  }
   // Requests that already wait go first, unless they wait for other instances.
   if (!TryStart(aNow, aTicket, stored))
     Enqueue(state, aTicket, stored);
 }
 
+bool
+Dispatcher::EndsBeforeStop(TimePoint aNow, const Route& aRoute, const ServiceState& aService) const
+{
+  if (!stop_)
+    return true;
+  const Duration latency =
+    Scale(aService.typicalLatency,
+          aRoute.idempotent ? kMinStopTimeShare : kMinNonIdempotentStopTimeShare);
+  return aNow < stop_->lastStart && aNow + latency <= stop_->end;
+}
+
 bool
 Dispatcher::TryStart(TimePoint aNow, Ticket aTicket, Request& aRequest)
 {
   ServiceState& state = ServiceStateFor(aRequest.service);
+  if (!EndsBeforeStop(aNow, *aRequest.spec.route, state))
+    return false;
   InstanceTracker* const instance = ChooseInstance(aNow, aRequest, state);
   if (instance == nullptr)
     return false;
@@ -276,7 +300,8 @@
     Scale(ServiceStateFor(aRequest.service).typicalLatency, kMinRetryTimeShare);
   if (aNow + minRetryTime > aRequest.spec.deadline || aRequest.tried.size() >= kMaxTried)
     return false;
-  if (crashes_.IsBlocked(aNow, {}, aRequest.spec.fingerprint))
+  if (crashes_.IsBlocked(aNow, {}, aRequest.spec.fingerprint) ||
+      !EndsBeforeStop(aNow, route, ServiceStateFor(aRequest.service)))
     return false;
   if (aReport.kind == Kind::NotSent)
     return true; // No instance received any byte, so the next attempt still counts as the first.
--- a/lib/Steering/RequestQueue.cpp
+++ b/lib/Steering/RequestQueue.cpp
@@ -74,10 +74,14 @@
   assert(found != requests_.end() && "only a known request is refused");
   const Request& request = found->second;
   const ServiceState& state = ServiceStateFor(request.service);
+  // Another VM can serve the caller at once.
+  const Duration retryAfter =
+    aReason == RefusalReason::Stopping
+      ? Duration{}
+      : OnRefusedCaller(aNow, request.service, *request.spec.route, request.spec.deadline);
   RequestRefusal refusal{
     .reason = aReason,
-    .retryAfter =
-      OnRefusedCaller(aNow, request.service, *request.spec.route, request.spec.deadline),
+    .retryAfter = retryAfter,
     .waited = aNow - request.spec.arrived,
     .service = request.service,
     .waiting = state.queue.size(),
@@ -174,7 +178,8 @@
     std::vector<Ticket> expired;
     for (const Ticket ticket : state.queue) {
       const Request& request = requests_.at(ticket);
-      if (aNow - request.spec.arrived >= MaxWaitTime(request, state) ||
+      if (!EndsBeforeStop(aNow, *request.spec.route, state) ||
+          aNow - request.spec.arrived >= MaxWaitTime(request, state) ||
           aNow >= request.spec.deadline || hopeless.contains(ticket))
         expired.push_back(ticket);
     }
@@ -184,6 +189,10 @@
         std::any_of(state.regions.begin(), state.regions.end(), [aNow](const auto& aRegion) {
           return HasUsableInstance(aNow, aRegion.second);
         });
+      if (!EndsBeforeStop(aNow, *requests_.at(ticket).spec.route, state)) {
+        Refuse(aNow, ticket, RefusalReason::Stopping);
+        continue;
+      }
       const bool timedOut = aNow >= requests_.at(ticket).spec.deadline;
       Refuse(aNow,
              ticket,
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -581,6 +581,58 @@
   cr_assert(answer.result() == http::status::ok);
 }
 
+/// Guards against a planned stop that passes on a request whose upload ends late in the stop time,
+/// and cuts it off while its instance is at work. A request that ends early enough is served.
+Test(Gateway, PlannedStopPassesNoRequestOnThatItWouldCutOff)
+{
+  struct Case
+  {
+    const char* name;
+    Duration uploadTime; ///< From the beginning of the stop to the last byte.
+    http::status status;
+    size_t arrivals; ///< At the instances.
+  };
+  static const Case kCases[] = {
+    { "early", 1s, http::status::ok, 1 },
+    { "late", 3300ms, http::status::service_unavailable, 0 },
+  };
+  for (const Case& testCase : kCases) {
+    ServingFixture fixture(10s);
+    fixture.SetBehaviour([](const StandInInstance& aInstance, const Request& aRequest) {
+      Reaction reaction = aInstance.SuccessReaction(aRequest);
+      reaction.delay = 2500ms;
+      return reaction;
+    });
+    Request request(http::verb::post, "/order/1", 11);
+    request.set(http::field::host, "shop.example");
+    request.set("X-Request-Id", "upload");
+    request.set("X-Deadline-Ms", "10000");
+    request.body() = std::string(1000, 'x');
+    request.prepare_payload();
+    std::ostringstream stream;
+    stream << request;
+    const std::string bytes = stream.str();
+    const size_t half = bytes.size() / 2;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(ToTcp(fixture.Settings().self.callers));
+    asio::write(socket, asio::buffer(bytes.data(), half));
+    fixture.BeginStop();
+    std::this_thread::sleep_for(testCase.uploadTime);
+    error_code error;
+    asio::write(socket, asio::buffer(bytes.data() + half, bytes.size() - half), error);
+    std::thread stopping([&] { fixture.Stop(); });
+    beast::flat_buffer buffer;
+    Response answer;
+    if (!error)
+      http::read(socket, buffer, answer, error);
+    stopping.join();
+    cr_assert(not error, "%s: %s", testCase.name, error.message().c_str());
+    cr_assert(answer.result() == testCase.status, "%s", testCase.name);
+    cr_assert(fixture.CountRequestsReceived("upload") == testCase.arrivals, "%s", testCase.name);
+  }
+}
+
 /// Guards against two faults when an instance has taken over the address of a former instance,
 /// which may belong to another service: the new instance serves requests that are meant for the
 /// former instance, or its refusal reaches the caller although a third instance could serve the
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -549,4 +549,69 @@
   cr_assert(holds);
 }
 
+/// Guards against requests that a VM passes on shortly before it stops, and then cuts off.
+Test(Dispatcher, StartsNoAttemptThatOutlastsThePlannedStop)
+{
+  constexpr StopSchedule kStop{ .lastStart = TimePoint(102500ms), .end = TimePoint(105600ms) };
+  struct Case
+  {
+    const char* name;
+    Duration latency; ///< Usual time in which the service answers.
+    Duration after;   ///< Time from the beginning of the stop to the request.
+    bool idempotentStarts;
+    bool nonIdempotentStarts;
+  };
+  static const Case kCases[] = {
+    { "early", 500ms, 1s, true, true },
+    { "last", 500ms, 2400ms, true, true },
+    { "late", 500ms, 2500ms, false, false },
+    { "slow service", 4s, 500ms, true, false },
+    { "service too slow for the rest", 5s, 1s, false, false },
+    { "service of unknown speed", 0s, 1s, true, true },
+  };
+  for (const Case& testCase : kCases) {
+    for (const bool idempotent : { true, false }) {
+      const bool starts = idempotent ? testCase.idempotentStarts : testCase.nonIdempotentStarts;
+      DispatcherFixture fixture;
+      fixture.SetFleet({ { .id = "i-1", .slots = 1 } });
+      const auto options = [&] {
+        return DispatcherFixture::RouteOptions{ .idempotent = idempotent, .timeLeft = 10s };
+      };
+      if (testCase.latency > 0s) {
+        const Ticket earlier = fixture.Submit(options(), 1);
+        fixture.running.erase(earlier);
+        fixture.dispatcher.OnAttemptEnd(
+          fixture.now,
+          earlier,
+          { .kind = Kind::Answered, .status = 200, .latency = testCase.latency });
+      }
+      fixture.dispatcher.BeginStop(kStop);
+      fixture.now += testCase.after;
+      const Ticket ticket = fixture.Submit(options(), 1);
+      cr_assert(fixture.running.contains(ticket) == starts, "%s", testCase.name);
+      cr_assert(fixture.refused.contains(ticket) != starts, "%s", testCase.name);
+      if (!starts)
+        cr_assert(fixture.refused[ticket].reason == RefusalReason::Stopping, "%s", testCase.name);
+    }
+  }
+}
+
+/// Guards against a request that waits for a slot, or is to be repeated, and starts too late during
+/// a planned stop.
+Test(Dispatcher, RefusesWaitingRequestsWhenThePlannedStopEnds)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1", .slots = 1 }, { .id = "i-2", .slots = 1 } });
+  const Ticket first = fixture.Submit({ .timeLeft = 10s }, 1);
+  const Ticket second = fixture.Submit({ .timeLeft = 10s }, 2);
+  const Ticket waiting = fixture.Submit({ .timeLeft = 10s }, 1);
+  cr_assert(not fixture.running.contains(waiting) && not fixture.refused.contains(waiting));
+  fixture.dispatcher.BeginStop({ .lastStart = fixture.now + 50ms, .end = fixture.now + 3s });
+  fixture.Advance(60ms);
+  cr_assert(fixture.refused.contains(waiting));
+  cr_assert(fixture.refused[waiting].retryAfter == 0s);
+  cr_assert(fixture.End(first, Kind::NotExecuted) == Verdict::Refuse);
+  cr_assert(fixture.End(second, Kind::Broken) == Verdict::Fail);
+}
+
 } // namespace
