Reset connections whose request was given up

Cause: an exchange that timed out, was abandoned or lost its caller closed its socket in order, so that the kernel delivered the request when the path was back. By the histories such a request is sent in the cut, its caller gets 502 or its deadline passes, and it runs 6 to 8 s after it was sent. Ruled out: an attempt that starts late, as none starts after the answer or the deadline.

ResetConnection discards what was not delivered. It is used wherever an exchange with an instance ends without its whole answer, on the platform's interface and on the own one. After a whole answer, and for calls to the store and messages between VMs, which carry no request of a caller here, the orderly close stays. Forwarded requests between VMs of the own interface are not changed.

Failed before: Gateway/GivenUpRequestsAreNotDeliveredLater ("End of file" in place of a reset).

--- a/include/dragonflymoor/Net/Asio.h
+++ b/include/dragonflymoor/Net/Asio.h
@@ -50,8 +50,14 @@
 bool
 IsIdleAndOpen(tcp::socket& aSocket);
 
-/// Whether the other side ended a connection, by closing or resetting it, rather than this side or a
-/// time-out.
+/// Closes a connection and discards what it has not delivered yet. After an orderly close the
+/// kernel delivers a request as soon as the path allows, when its caller has long been told
+/// otherwise.
+void
+ResetConnection(tcp::socket& aSocket);
+
+/// Whether the other side ended a connection, by closing or resetting it, rather than this side or
+/// a time-out.
 bool
 IsClosedByPeer(const error_code& aError);
 
--- a/lib/Gateway/InstanceClient.cpp
+++ b/lib/Gateway/InstanceClient.cpp
@@ -85,9 +85,8 @@
   if (closeReason_ != CloseReason::None)
     return;
   closeReason_ = aReason;
-  error_code ignored; // The socket is dropped in any case.
   if (socket_ != nullptr)
-    socket_->close(ignored);
+    ResetConnection(*socket_);
 }
 
 InstanceClient::InstanceClient(asio::io_context& aContext,
@@ -318,7 +317,8 @@
   }
   aControl->socket_ = nullptr;
   activeControls_.erase(aControl);
-  if (result.answer != nullptr)
+  const bool hasWholeAnswer = result.answer != nullptr;
+  if (hasWholeAnswer)
     EvaluateAnswer(aRequestId, result);
   if (result.statement)
     onStatement_({ .instance = aAttempt.instance, .startTimeMs = aAttempt.startTimeMs },
@@ -332,9 +332,11 @@
   result.report.latency = ReadClocks().monotonic - started;
   if (reusable) {
     ReturnConnection(aAttempt.instance, std::move(connection));
-  } else if (connection != nullptr) {
+  } else if (connection != nullptr && hasWholeAnswer) {
     error_code ignored; // The connection is dropped; a write may still be using it.
     connection->socket.close(ignored);
+  } else if (connection != nullptr) {
+    ResetConnection(connection->socket);
   }
   co_return result;
 }
--- a/lib/Net/Asio.cpp
+++ b/lib/Net/Asio.cpp
@@ -75,6 +75,14 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void
+ResetConnection(tcp::socket& aSocket)
+{
+  error_code ignored; // A socket that is not open, or fails, delivers nothing.
+  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  aSocket.close(ignored);
+}
+
 bool
 IsClosedByPeer(const error_code& aError)
 {
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -134,7 +134,7 @@
     return;
   found->second->cancelled = true;
   if (found->second->connection != nullptr)
-    found->second->connection->stream.close();
+    ResetConnection(found->second->connection->stream.socket());
 }
 
 asio::awaitable<void>
@@ -178,8 +178,10 @@
                       deadline);
   if (exchange.reusable && !aRunning.cancelled)
     pool_.Release(aAttempt.server.endpoint, aRunning.connection);
-  else
+  else if (exchange.answer)
     aRunning.connection->stream.close();
+  else
+    ResetConnection(aRunning.connection->stream.socket());
 
   AttemptOutcome outcome = Classify(exchange);
   const bool mayHaveCrashed = outcome.result.end == AttemptEnd::Failed && !exchange.answerStarted;
--- a/unittests/Platform/GatewayTest.cpp
+++ b/unittests/Platform/GatewayTest.cpp
@@ -516,6 +516,42 @@
   cr_assert(cancelled);
 }
 
+/// Guards against a request that was given up and reaches the instance later, when the path to it
+/// is free again: after an orderly close the kernel delivers what the instance has not taken in.
+Test(Gateway, GivenUpRequestsAreNotDeliveredLater)
+{
+  asio::io_context context;
+  // An instance that does not read; its small buffer leaves most of the request at the VM.
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4());
+  acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+  acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.listen();
+  const StandInInstance instance("i-silent");
+  json::value spec = InstanceSpec(instance, "any");
+  spec.as_object()["addr"] = fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+  GatewayFixture fixture;
+  fixture.Store().Put(
+    "config",
+    "main",
+    ManifestSpec(7, { { .prefix = "/order/", .service = "any", .idempotent = false } }));
+  fixture.Store().Put("servers", instance.Id(), spec);
+  fixture.Start();
+  // Refused until the VM knows the instance.
+  const bool timedOut = GatewayFixture::WaitUntil([&] {
+    const auto answer =
+      fixture.Send(http::verb::post, "/order/1", "given up", std::string(90000, 'x'));
+    return answer && answer->result() == http::status::gateway_timeout;
+  });
+  cr_assert(timedOut);
+  tcp::socket connection(context);
+  acceptor.accept(connection);
+  std::string bytes;
+  error_code error;
+  asio::read(connection, asio::dynamic_buffer(bytes), error);
+  cr_assert(error == asio::error::connection_reset, "%s", error.message().c_str());
+}
+
 /// Guards against a planned stop that aborts a request in flight or leaves the VM ready.
 Test(Gateway, PlannedStopFinishesRequestsInFlight)
 {
