Measure outages of the store by its answers of every kind

The length of an outage counted from the last answer about instances. When only the watch of another kind failed, up to the 0.8 s of a watch of instances were taken for an outage that had not been one. Found by reading; no test of its own, FleetKeeper's tests pass as before.

--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -189,7 +189,7 @@
         { { "kind", std::string(ToString(aKind)) }, { "error", aError->message } });
   }
   const TimePoint now = ReadClocks().monotonic;
-  if (!aError && aKind == ObjectKind::Instances)
+  if (!aError)
     keeper_.OnStoreAnswer(now);
   if (storeFollowing_.OnStoreCallEnd(now, aKind, !aError))
     ReportStoreReachable(storeFollowing_.IsStoreReachable() ? "store regained" : "store lost");
