Do not check an instance for a crash that has answered since

Each connection that an instance closes in place of an answer makes a health check due, which is priced and takes a slot. An answer to a request that was sent after the break shows as well that the instance is up. Dispatcher/DoesNotCheckAnInstanceThatHasAnsweredSince fails without the change.

--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -204,6 +204,12 @@
 InstanceTracker::OnSuccess(TimePoint aNow, Duration aLatency)
 {
   lastResponseTime_ = aNow;
+  // It was up after these had broken off.
+  const TimePoint sentAt = aNow - aLatency;
+  std::erase_if(crashSuspects_,
+                [sentAt](const CrashSuspect& aSuspect) { return aSuspect.brokenAt < sentAt; });
+  if (crashSuspects_.empty())
+    crashCheckTime_.reset();
   failureShare_ *= 1 - kMeanWeight;
   const double weight = answerCount_ == 0 ? 1 : kMeanWeight;
   meanLatency_ += Scale(aLatency - meanLatency_, weight);
--- a/unittests/Steering/DispatcherTest.cpp
+++ b/unittests/Steering/DispatcherTest.cpp
@@ -401,6 +401,22 @@
   }
 }
 
+/// Guards against a health check for each connection that an instance in use closes: it has
+/// answered a later request.
+Test(Dispatcher, DoesNotCheckAnInstanceThatHasAnsweredSince)
+{
+  DispatcherFixture fixture;
+  fixture.SetFleet({ { .id = "i-1" } });
+  const Ticket broken = fixture.Submit({ .maxAttempts = 1 }, 1, 77);
+  fixture.End(broken, Kind::Broken, 0, true);
+  fixture.Advance(10ms);
+  const Ticket next = fixture.Submit({}, 1, 5);
+  fixture.Advance(60ms);
+  fixture.End(next, Kind::Answered, 200);
+  fixture.Advance(300ms);
+  cr_assert(fixture.probed.empty());
+}
+
 /// Guards against new requests to an instance that stopped answering, and against idempotent
 /// requests that stay there instead of being retried elsewhere.
 Test(Dispatcher, ChecksASilentInstanceAndMovesItsRequests)
