Identify callers by workspace and serve manifests with invalid parts

Cause: the key of a caller went to the instance and no workspace's name did, the homes of a workspace were not read, and one route of an unknown type put the whole manifest out of force, so that a deployment with uploads served nothing.

Change: the manifest's workspaces are decoded; a caller is identified once, at the front, by a hash table from key to workspace. Instances get the workspace's name in place of the key. Its priority replaces the route's and its homes bind beside the route's. An invalid route, workspace or limit is reported and refuses its own requests as not run; an unknown route type runs at most once. The test RefusesInvalidManifests is replaced by tables that state for each invalid part what is refused and what is still served.

--- a/include/dragonflymoor/Gateway/CallerFront.h
+++ b/include/dragonflymoor/Gateway/CallerFront.h
@@ -71,6 +71,8 @@
   std::shared_ptr<Answer> MakeOwnAnswer(http::status aStatus,
                                         std::string_view aReason,
                                         const Request& aRequest) const;
+  /// Returns an answer that says that the request did not run and when to come back.
+  std::shared_ptr<Answer> MakeUnavailableAnswer(std::string_view aReason, const Request& aRequest);
   void LogRefusal(const Request& aRequest) const;
   void LogAttempt(const Request& aRequest,
                   const InstanceAttempt& aAttempt,
--- a/include/dragonflymoor/Gateway/Protocol.h
+++ b/include/dragonflymoor/Gateway/Protocol.h
@@ -19,12 +19,29 @@
 
 namespace http = beast::http;
 
+/// The proof of identity that a caller sent. The key must not appear in logs, in metrics or in what
+/// instances and other VMs get.
+struct CallerCredential
+{
+  enum class Kind
+  {
+    None,
+    Key,
+    Malformed, ///< Sent more than once, of another scheme, or without a key.
+  };
+  Kind kind = Kind::None;
+  std::string key; ///< Empty unless the kind is Key.
+
+  auto operator<=>(const CallerCredential&) const = default;
+};
+
 /// The headers of a caller's request that the gateway evaluates.
 struct CallerHeaders
 {
   std::string requestId; ///< Empty when the header is missing.
   std::optional<std::string> affinityKey;
   std::optional<Duration> timeout; ///< How long the caller waits for the answer.
+  CallerCredential credential;
 
   auto operator<=>(const CallerHeaders&) const = default;
 };
@@ -53,6 +70,9 @@
   /// until the attempt's deadline.
   std::function<void(http::fields&, const BackendId& aExpected, Duration aTimeLeft)>
     writeAttemptHeaders;
+  /// Replaces what the caller sent about its identity by the name of aWorkspace, or by nothing when
+  /// it is null.
+  std::function<void(http::fields&, const WorkspaceId* aWorkspace)> writeIdentity;
   /// Parses the status and headers of an instance's answer.
   std::function<AnswerHeaders(unsigned aStatus, const http::fields&)> readAnswerHeaders;
   /// Parses the target of a directory request. Empty when the target is not a directory query.
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -35,7 +35,8 @@
 {
   std::shared_ptr<const RouteIndex> routes; ///< Keeps the route alive.
   const Route* route = nullptr;
-  std::optional<uint64_t> affinity; ///< Hash of the object's key; empty without one.
+  const Workspace* workspace = nullptr; ///< The caller's, if it has one; lives as long as routes.
+  std::optional<uint64_t> affinity;     ///< Hash of the object's key; empty without one.
   TimePoint arrived;
   TimePoint deadline;       ///< The caller's or the route's, whichever comes first.
   uint64_t fingerprint = 0; ///< The same for each copy of a request.
@@ -198,10 +199,11 @@
   size_t InFlightCount() const;
   /// Delay after which a caller may come back that was refused although no service is overloaded.
   Duration RetryAfter();
-  /// A caller gets a refusal for aService. Returns the delay after which it may come back.
+  /// A caller's request of rank aPriority for aService is refused. Returns the delay after which it
+  /// may come back.
   Duration OnRefusedCaller(TimePoint aNow,
                            const ServiceId& aService,
-                           const Route& aRoute,
+                           unsigned aPriority,
                            TimePoint aDeadline);
 
 private:
@@ -235,6 +237,12 @@
   };
   struct Request
   {
+    unsigned Priority() const { return PriorityOf(*spec.route, spec.workspace); }
+    bool MayRunIn(const RegionId& aRegion) const
+    {
+      return MayServeIn(*spec.route, spec.workspace, aRegion);
+    }
+
     RequestSpec spec;
     ServiceId service;
     uint64_t key = 0;    ///< Of the object, or random.
--- a/include/dragonflymoor/Steering/Manifest.h
+++ b/include/dragonflymoor/Steering/Manifest.h
@@ -1,10 +1,12 @@
 #ifndef DRAGONFLYMOOR_STEERING_MANIFEST_H
 #define DRAGONFLYMOOR_STEERING_MANIFEST_H
 
+#include "dragonflymoor/Support/Finding.h"
 #include "dragonflymoor/Support/Id.h"
 #include "dragonflymoor/Support/Time.h"
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -34,11 +36,30 @@
   unsigned maxAttempts = 1; ///< Number of instances that one request may be sent to.
   bool sticky = false;      ///< Instances serve an object faster if they have served it before.
   std::vector<RegionId> homeRegions; ///< Only these may serve the route; empty: all.
-  std::vector<SplitPart> parts;      ///< Never empty.
+  bool isPublic = false;             ///< Callers need no key.
+  /// The configuration of the route is invalid. Its requests are refused as not run: a route with a
+  /// shorter prefix could send them to another service.
+  bool invalid = false;
+  std::vector<SplitPart> parts; ///< Never empty unless the route is invalid.
 
   auto operator<=>(const Route&) const = default;
 };
 
+/// A paying customer, as the manifest describes it.
+struct Workspace
+{
+  WorkspaceId id;
+  std::vector<std::string> keys;     ///< Callers with one of these act for the workspace.
+  std::optional<unsigned> priority;  ///< Replaces the priority of the route.
+  double requestsPerSecond = 0;      ///< Quota over all VMs together; 0 is no limit.
+  double burst = 0;                  ///< Requests beyond the rate.
+  std::vector<RegionId> homeRegions; ///< Only these may serve the workspace; empty: all.
+  /// The configuration of the workspace is invalid. Its requests are refused as not run.
+  bool invalid = false;
+
+  auto operator<=>(const Workspace&) const = default;
+};
+
 /// The operator's settings for one service.
 struct ServiceSpec
 {
@@ -68,12 +89,16 @@
   uint64_t version = 0;
   std::vector<Route> routes;
   std::map<ServiceId, ServiceSpec> services;
+  /// Empty when callers need no key at all.
+  std::vector<Workspace> workspaces;
   CallerLimits limits;
+  /// Invalid parts, which are left out or refuse their requests. The rest is served.
+  Findings problems;
 
   bool operator==(const Manifest&) const = default;
 };
 
-/// Finds the route of a request. Immutable; safe to use from any thread.
+/// Finds the route and the workspace of a request. Immutable; safe to use from any thread.
 class RouteIndex
 {
 public:
@@ -86,6 +111,11 @@
   /// Whether the host has routes, and all of them may be served in aRegion.
   bool MayServeHostIn(std::string_view aHost, const RegionId& aRegion) const;
 
+  /// Returns the workspace of the caller that has aKey, or null if no workspace or more than one
+  /// has it. Takes the same time however many keys there are. The workspace lives as long as the
+  /// manifest.
+  const Workspace* FindWorkspace(std::string_view aKey) const;
+
   const Manifest& GetManifest() const { return *manifest_; }
 
 private:
@@ -94,11 +124,18 @@
   std::shared_ptr<const Manifest> manifest_;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> routesByHost_;
+  /// Null for a key that several workspaces have.
+  std::unordered_map<std::string_view, const Workspace*> workspacesByKey_;
 };
 
-/// Whether aRoute may be served in aRegion.
+/// Whether a request on aRoute may be served in aRegion. aWorkspace is the caller's, or null. The
+/// homes of both bind. Thread-safe.
 bool
-MayServeIn(const Route& aRoute, const RegionId& aRegion);
+MayServeIn(const Route& aRoute, const Workspace* aWorkspace, const RegionId& aRegion);
+
+/// Rank of a request; 0 is the most urgent. aWorkspace is the caller's, or null. Thread-safe.
+unsigned
+PriorityOf(const Route& aRoute, const Workspace* aWorkspace);
 
 } // namespace dfm
 
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -63,7 +63,10 @@
             "manifest in force",
             { { "version", std::to_string(aManifest.version) },
               { "routes", std::to_string(aManifest.routes.size()) },
-              { "services", std::to_string(aManifest.services.size()) } });
+              { "services", std::to_string(aManifest.services.size()) },
+              { "workspaces", std::to_string(aManifest.workspaces.size()) },
+              { "problems", FormatFindings(aManifest.problems) } });
+        aMetrics.SetGauge("manifest_problems", static_cast<double>(aManifest.problems.size()));
       },
     .objectRejected =
       [&aMetrics](const Findings& aFindings) {
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -215,10 +215,9 @@
 InstanceTracker*
 Dispatcher::ChooseInstance(TimePoint aNow, Request& aRequest, const ServiceState& aState) const
 {
-  const Route& route = *aRequest.spec.route;
-  const bool ownAllowed = MayServeIn(route, options_.region);
+  const bool ownAllowed = aRequest.MayRunIn(options_.region);
   const auto spillTo = aState.spill.SpillRegionFor(aRequest.key);
-  if (ownAllowed && spillTo && MayServeIn(route, *spillTo) &&
+  if (ownAllowed && spillTo && aRequest.MayRunIn(*spillTo) &&
       shifts_.MayStart(aNow, *spillTo, aState.spill.ShareOf(*spillTo))) {
     // While the other region is full the request waits: in this VM's region its object is cold and
     // would evict others.
@@ -234,7 +233,7 @@
   // stay warm.
   std::vector<RegionId> others;
   for (const auto& [region, candidates] : aState.regions) {
-    if (region != options_.region && MayServeIn(route, region) &&
+    if (region != options_.region && aRequest.MayRunIn(region) &&
         HasUsableInstance(aNow, candidates))
       others.push_back(region);
   }
--- a/lib/Steering/Manifest.cpp
+++ b/lib/Steering/Manifest.cpp
@@ -18,6 +18,12 @@
   return host;
 }
 
+bool
+IsHome(const std::vector<RegionId>& aHomes, const RegionId& aRegion)
+{
+  return aHomes.empty() || std::find(aHomes.begin(), aHomes.end(), aRegion) != aHomes.end();
+}
+
 } // namespace
 
 RouteIndex::RouteIndex(std::shared_ptr<const Manifest> aManifest)
@@ -30,6 +36,20 @@
       return aLeft->pathPrefix.size() > aRight->pathPrefix.size();
     });
   }
+  for (const Workspace& workspace : manifest_->workspaces) {
+    for (const std::string& key : workspace.keys) {
+      const auto [entry, isNew] = workspacesByKey_.emplace(key, &workspace);
+      if (!isNew && entry->second != &workspace)
+        entry->second = nullptr;
+    }
+  }
+}
+
+const Workspace*
+RouteIndex::FindWorkspace(std::string_view aKey) const
+{
+  const auto workspace = workspacesByKey_.find(aKey);
+  return workspace == workspacesByKey_.end() ? nullptr : workspace->second;
 }
 
 const std::vector<const Route*>*
@@ -59,16 +79,23 @@
   if (routes == nullptr)
     return false;
   return std::all_of(routes->begin(), routes->end(), [&aRegion](const Route* aRoute) {
-    return MayServeIn(*aRoute, aRegion);
+    return MayServeIn(*aRoute, nullptr, aRegion);
   });
 }
 
 bool
-MayServeIn(const Route& aRoute, const RegionId& aRegion)
+MayServeIn(const Route& aRoute, const Workspace* aWorkspace, const RegionId& aRegion)
+{
+  return IsHome(aRoute.homeRegions, aRegion) &&
+         (aWorkspace == nullptr || IsHome(aWorkspace->homeRegions, aRegion));
+}
+
+unsigned
+PriorityOf(const Route& aRoute, const Workspace* aWorkspace)
 {
-  return aRoute.homeRegions.empty() ||
-         std::find(aRoute.homeRegions.begin(), aRoute.homeRegions.end(), aRegion) !=
-           aRoute.homeRegions.end();
+  if (aWorkspace == nullptr)
+    return aRoute.priority;
+  return aWorkspace->priority.value_or(aRoute.priority);
 }
 
 } // namespace dfm
--- a/lib/Steering/RequestQueue.cpp
+++ b/lib/Steering/RequestQueue.cpp
@@ -53,7 +53,7 @@
   std::map<unsigned, size_t> newerByPriority;
   for (auto ticket = aState.queue.rbegin(); ticket != aState.queue.rend(); ++ticket) {
     const Request& request = requests_.at(*ticket);
-    const unsigned own = request.spec.route->priority;
+    const unsigned own = request.Priority();
     size_t ahead = 0;
     for (const auto& [priority, count] : newerByPriority)
       ahead += priority <= own ? count : 0;
@@ -78,7 +78,7 @@
   const Duration retryAfter =
     aReason == RefusalReason::Stopping
       ? Duration{}
-      : OnRefusedCaller(aNow, request.service, *request.spec.route, request.spec.deadline);
+      : OnRefusedCaller(aNow, request.service, request.Priority(), request.spec.deadline);
   RequestRefusal refusal{
     .reason = aReason,
     .retryAfter = retryAfter,
@@ -108,11 +108,10 @@
 Duration
 Dispatcher::OnRefusedCaller(TimePoint aNow,
                             const ServiceId& aService,
-                            const Route& aRoute,
+                            unsigned aPriority,
                             TimePoint aDeadline)
 {
-  return ServiceStateFor(aService).returns.OnRefusal(
-    aNow, aRoute.priority, aDeadline - aNow, random_);
+  return ServiceStateFor(aService).returns.OnRefusal(aNow, aPriority, aDeadline - aNow, random_);
 }
 
 bool
@@ -130,7 +129,7 @@
   if (ServesNewestFirst(aNow, aState))
     std::reverse(order.begin(), order.end());
   std::stable_sort(order.begin(), order.end(), [this](Ticket aLeft, Ticket aRight) {
-    return requests_.at(aLeft).spec.route->priority < requests_.at(aRight).spec.route->priority;
+    return requests_.at(aLeft).Priority() < requests_.at(aRight).Priority();
   });
   return order;
 }
--- /dev/null
+++ b/unittests/Platform/IdentityTest.cpp
@@ -0,0 +1,134 @@
+#include "dragonflymoor/Gateway/Identity.h"
+#include "GatewayFixture.h"
+#include "platform/Requests.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+namespace {
+
+using namespace dfm;
+using dfm::test::GatewayFixture;
+
+constexpr const char* kAuthorization = "Authorization";
+
+struct CredentialRow
+{
+  std::vector<std::string> headers; ///< Values of the Authorization header.
+  CallerCredential expected;
+};
+
+/// Guards against a malformed proof of identity that is taken for a key.
+Test(Identity, ReadsCredentials)
+{
+  using Kind = CallerCredential::Kind;
+  const CallerCredential key{ .kind = Kind::Key, .key = "abc" };
+  const CallerCredential malformed{ .kind = Kind::Malformed };
+  const std::vector<CredentialRow> kRows{
+    { {}, {} },
+    { { "Bearer abc" }, key },
+    { { "bearer  abc" }, key },
+    { { "Bearer" }, malformed },
+    { { "Bearer " }, malformed },
+    { { "" }, malformed },
+    { { "abc" }, malformed },
+    { { "Basic abc" }, malformed },
+    { { "Bearer abc def" }, malformed },
+    { { "Bearer abc,def" }, malformed },
+    { { "Bearer abc", "Bearer abc" }, malformed },
+  };
+  for (const CredentialRow& row : kRows) {
+    http::fields fields;
+    for (const std::string& value : row.headers)
+      fields.insert(kAuthorization, value);
+    cr_assert(platform::MakeProtocol().readCallerHeaders(fields).credential == row.expected);
+  }
+}
+
+struct IdentityRow
+{
+  const char* key; ///< Null for a request without one.
+  bool isPublic;
+  CallerIdentity::Verdict verdict;
+  const char* workspace; ///< Null for none.
+};
+
+/// Guards against a caller that acts for another workspace, or for none where a key is needed.
+Test(Identity, IdentifiesCallers)
+{
+  using Verdict = CallerIdentity::Verdict;
+  Manifest manifest;
+  manifest.workspaces = { { .id = WorkspaceId("w1"), .keys = { "k1", "k1", "shared" } },
+                          { .id = WorkspaceId("w2"), .keys = { "k2", "shared" } },
+                          { .id = WorkspaceId("w3"), .keys = { "k3" }, .invalid = true } };
+  const RouteIndex routes(std::make_shared<const Manifest>(manifest));
+  const RouteIndex open(std::make_shared<const Manifest>());
+  static const IdentityRow kRows[] = {
+    { "k1", false, Verdict::Accepted, "w1" },       { "k2", false, Verdict::Accepted, "w2" },
+    { "k1", true, Verdict::Accepted, "w1" },        { "k3", false, Verdict::Unavailable, nullptr },
+    { "k4", false, Verdict::Unknown, nullptr },     { "k4", true, Verdict::Accepted, nullptr },
+    { "shared", false, Verdict::Unknown, nullptr }, { nullptr, false, Verdict::Unknown, nullptr },
+    { nullptr, true, Verdict::Accepted, nullptr },
+  };
+  for (const IdentityRow& row : kRows) {
+    const Route route{ .isPublic = row.isPublic };
+    CallerCredential credential;
+    if (row.key != nullptr)
+      credential = { .kind = CallerCredential::Kind::Key, .key = row.key };
+    const CallerIdentity identity = IdentifyCaller(routes, route, credential);
+    cr_assert(identity.verdict == row.verdict);
+    const WorkspaceId found =
+      identity.workspace == nullptr ? WorkspaceId() : identity.workspace->id;
+    cr_assert(found == (row.workspace == nullptr ? WorkspaceId() : WorkspaceId(row.workspace)));
+    cr_assert(IdentifyCaller(open, route, credential) == CallerIdentity{});
+  }
+  cr_assert(IdentifyCaller(open, { .invalid = true }, {}).verdict == Verdict::Unavailable);
+}
+
+/// Guards against a key that reaches an instance, against a workspace's name that the caller chose,
+/// and against a withdrawn key that is accepted.
+Test(Identity, InstancesGetTheWorkspaceInPlaceOfTheKey)
+{
+  using dfm::test::ManifestSpec;
+  class Fixture : public GatewayFixture
+  {
+  public:
+    std::optional<test::Response> SendWithKey(const std::string& aKey, const std::string& aId)
+    {
+      test::Request request(http::verb::get, "/read/x", 11);
+      request.set(http::field::host, "shop.example");
+      request.set("X-Request-Id", aId);
+      request.set("X-Deadline-Ms", "5000");
+      request.set(kAuthorization, "Bearer " + aKey);
+      request.set("X-Tenant", "other");
+      return test::SendAndReceive(Settings().self.callers, request);
+    }
+  } fixture;
+  test::StandInInstance instance("i-1");
+  const auto putManifest = [&fixture](unsigned aVersion, const std::string& aKey) {
+    test::json::value spec = ManifestSpec(aVersion, { {} });
+    spec.as_object()["tenants"] = test::json::array{ test::json::object{
+      { "name", "w1" }, { "api_keys", test::json::array{ aKey } } } };
+    fixture.Store().Put("config", "main", spec);
+  };
+  putManifest(1, "first-key");
+  fixture.Store().Put("servers", "i-1", test::InstanceSpec(instance, "reader"));
+  fixture.Start();
+  const auto served = fixture.SendWithKey("first-key", "q-1");
+  cr_assert(served && served->result() == http::status::ok);
+  const auto unknown = fixture.SendWithKey("second-key", "q-2");
+  cr_assert(unknown && unknown->result() == http::status::unauthorized);
+  putManifest(2, "second-key");
+  cr_assert(GatewayFixture::WaitUntil([&fixture] {
+    const auto answer = fixture.SendWithKey("first-key", "q-3");
+    return answer && answer->result() == http::status::unauthorized;
+  }));
+  const auto added = fixture.SendWithKey("second-key", "q-4");
+  cr_assert(added && added->result() == http::status::ok);
+  for (const test::Request& request : instance.ReceivedRequests()) {
+    cr_assert(request.count("X-Tenant") == 1 && request["X-Tenant"] == "w1");
+    cr_assert(request.count(http::field::authorization) == 0);
+  }
+}
+
+} // namespace
--- a/unittests/Platform/ObjectsTest.cpp
+++ b/unittests/Platform/ObjectsTest.cpp
@@ -54,7 +54,7 @@
   cr_assert(manifest->limits.bodyBytes == 1000 && manifest->limits.idleTimeout == 15s);
 }
 
-/// Guards against an invalid manifest that comes into force.
+/// Guards against a manifest without its main parts that comes into force.
 Test(Objects, RefusesInvalidManifests)
 {
   using Change = std::function<void(json::object&)>;
@@ -64,20 +64,8 @@
     [](json::object& aSpec) { aSpec["version"] = 7; },
     [](json::object& aSpec) { aSpec.erase("routes"); },
     [](json::object& aSpec) { aSpec["routes"] = 3; },
-    [](json::object& aSpec) { aSpec["routes"].at(0).as_object().erase("host"); },
-    [](json::object& aSpec) { aSpec["routes"].at(0).as_object()["path_prefix"] = "a"; },
-    [](json::object& aSpec) { aSpec["routes"].at(0).as_object()["route_type"] = "other"; },
-    [](json::object& aSpec) { aSpec["routes"].at(0).as_object()["timeout_s"] = -1; },
-    [](json::object& aSpec) { aSpec["routes"].at(0).as_object()["timeout_s"] = 1e9; },
-    [](json::object& aSpec) { aSpec["routes"].at(0).as_object()["split"] = json::array(); },
-    [](json::object& aSpec) {
-      aSpec["routes"].at(0).at("split").at(0).as_object().erase("weight");
-    },
-    [](json::object& aSpec) { aSpec["routes"].at(0).at("split").at(0).as_object()["weight"] = -5; },
-    [](json::object& aSpec) {
-      aSpec["routes"].at(0).at("split").at(0).as_object()["backend"] = "unknown";
-    },
-    [](json::object& aSpec) { aSpec["limits"] = "none"; },
+    [](json::object& aSpec) { aSpec["services"] = 3; },
+    [](json::object& aSpec) { aSpec["tenants"] = "all"; },
   };
   for (const Change& change : kChanges) {
     json::value manifest = ValidManifest();
@@ -90,6 +78,141 @@
   cr_assert(not DecodeManifest("[]").has_value());
 }
 
+/// A second route, service and workspace beside those of ValidManifest(); one of them is invalid in
+/// each row of the tests.
+json::value
+ManifestWithSecondParts()
+{
+  json::value manifest = ValidManifest();
+  json::object& spec = manifest.as_object()["spec"].as_object();
+  spec["routes"].as_array().push_back(json::parse(
+    R"({"name": "second", "host": "shop.example", "path_prefix": "/a/b/",
+        "route_type": "non_idempotent", "timeout_s": 1, "backend": "s3"})"));
+  spec["services"].as_array().push_back(
+    json::parse(R"({"name": "s3", "health_path": "/healthz"})"));
+  spec["tenants"] = json::parse(R"([
+    {"name": "w1", "api_keys": ["key-1", "key-2"], "priority": 0, "rate_per_s": 8, "burst": 4,
+     "home_regions": ["north"]},
+    {"name": "w2", "api_keys": ["key-3"]}])");
+  return manifest;
+}
+
+struct InvalidPart
+{
+  const char* place; ///< Of the finding.
+  std::function<void(json::object&)> change;
+};
+
+/// Guards against one invalid part that puts the whole manifest out of force, and against requests
+/// of an invalid route that reach another service through a shorter prefix.
+Test(Objects, InvalidPartsLeaveTheOthersInForce)
+{
+  const auto secondRoute = [](json::object& aSpec) -> json::object& {
+    return aSpec["routes"].at(1).as_object();
+  };
+  const std::vector<InvalidPart> kRouteRows{
+    { "timeout_s", [&](json::object& aSpec) { secondRoute(aSpec)["timeout_s"] = -1; } },
+    { "timeout_s", [&](json::object& aSpec) { secondRoute(aSpec)["timeout_s"] = 1e9; } },
+    { "split", [&](json::object& aSpec) { secondRoute(aSpec)["split"] = json::array(); } },
+    { "split[0].weight",
+      [&](json::object& aSpec) {
+        secondRoute(aSpec)["split"] = json::parse(R"([{"backend": "s3"}])");
+      } },
+    { "split[0].weight",
+      [&](json::object& aSpec) {
+        secondRoute(aSpec)["split"] = json::parse(R"([{"backend": "s3", "weight": -5}])");
+      } },
+    { "backend", [&](json::object& aSpec) { secondRoute(aSpec)["backend"] = "unknown"; } },
+    { "route_type", [&](json::object& aSpec) { secondRoute(aSpec).erase("route_type"); } },
+    { "backend", [](json::object& aSpec) { aSpec["services"].at(2).as_object().erase("name"); } },
+  };
+  for (const InvalidPart& row : kRouteRows) {
+    json::value value = ManifestWithSecondParts();
+    row.change(value.as_object()["spec"].as_object());
+    const auto manifest = DecodeManifest(json::serialize(value));
+    cr_assert(manifest.has_value());
+    cr_assert(std::any_of(
+      manifest->problems.begin(), manifest->problems.end(), [&row](const Finding& aFinding) {
+        return aFinding.place.ends_with(row.place);
+      }));
+    const RouteIndex routes(std::make_shared<const Manifest>(*manifest));
+    cr_assert(not routes.Find("shop.example", "/a/x")->invalid);
+    cr_assert(routes.Find("shop.example", "/a/b/x")->invalid);
+  }
+  const std::vector<InvalidPart> kLeftOutRows{
+    { "host", [&](json::object& aSpec) { secondRoute(aSpec).erase("host"); } },
+    { "path_prefix", [&](json::object& aSpec) { secondRoute(aSpec).erase("path_prefix"); } },
+    { "limits", [](json::object& aSpec) { aSpec["limits"] = "none"; } },
+  };
+  for (const InvalidPart& row : kLeftOutRows) {
+    json::value value = ManifestWithSecondParts();
+    row.change(value.as_object()["spec"].as_object());
+    const auto manifest = DecodeManifest(json::serialize(value));
+    cr_assert(manifest.has_value());
+    cr_assert(manifest->problems.at(0).place.ends_with(row.place));
+  }
+}
+
+struct RouteTypeRow
+{
+  const char* type;
+  bool idempotent;
+  bool reported;
+};
+
+/// Guards against a request of a type that this version does not know that is repeated, or refused.
+Test(Objects, UnknownRouteTypesRunAtMostOnce)
+{
+  static const RouteTypeRow kRows[] = { { "idempotent", true, false },
+                                        { "non_idempotent", false, false },
+                                        { "upload", false, false },
+                                        { "stream", false, true },
+                                        { "Idempotent", false, true } };
+  for (const RouteTypeRow& row : kRows) {
+    json::value value = ValidManifest();
+    value.as_object()["spec"].as_object()["routes"].at(0).as_object()["route_type"] = row.type;
+    const auto manifest = DecodeManifest(json::serialize(value));
+    cr_assert(manifest.has_value());
+    cr_assert(manifest->routes.at(0).idempotent == row.idempotent);
+    cr_assert(not manifest->routes.at(0).invalid);
+    cr_assert(manifest->problems.empty() != row.reported);
+  }
+}
+
+/// Guards against fields of a workspace that are misread, and against an invalid workspace that
+/// others pay for.
+Test(Objects, DecodesWorkspaces)
+{
+  json::value value = ManifestWithSecondParts();
+  auto manifest = DecodeManifest(json::serialize(value));
+  cr_assert(manifest.has_value() && manifest->problems.empty());
+  const Workspace expected{ .id = WorkspaceId("w1"),
+                            .keys = { "key-1", "key-2" },
+                            .priority = 0,
+                            .requestsPerSecond = 8,
+                            .burst = 4,
+                            .homeRegions = { RegionId("north") } };
+  cr_assert(manifest->workspaces.at(0) == expected);
+  cr_assert(not manifest->workspaces.at(1).priority.has_value());
+
+  json::object& first =
+    value.as_object()["spec"].as_object()["tenants"].as_array().at(0).as_object();
+  for (const auto& [field, invalid] :
+       std::map<std::string, json::value>{ { "name", 5 },
+                                           { "api_keys", json::array{ "" } },
+                                           { "rate_per_s", -1 },
+                                           { "home_regions", json::array{ 7 } },
+                                           { "priority", "high" } }) {
+    const json::value valid = first[field];
+    first[field] = invalid;
+    manifest = DecodeManifest(json::serialize(value));
+    cr_assert(manifest.has_value());
+    cr_assert(manifest->workspaces.at(0).invalid);
+    cr_assert(not manifest->workspaces.at(1).invalid);
+    first[field] = valid;
+  }
+}
+
 /// Guards against an entry of another writer that is taken for an instance.
 Test(Objects, DecodesOnlyValidInstances)
 {
