Start regions equally used and move requests to a third region

Change: the initial shares use all regions equally. A full region's requests move to a third region that has room.

StartsWithSharesThatFitTheRegions bounded the share by the earlier formula; it now states the exact split for each table row.

--- a/include/dragonflymoor/Steering/SpillControl.h
+++ b/include/dragonflymoor/Steering/SpillControl.h
@@ -41,9 +41,10 @@
 };
 
 /// Decides which fraction of the keys of one service is served in other regions while the own
-/// region is short of slots. A hash of the key selects the keys, so that the requests for an object
-/// stay in one region. The fraction changes slowly, so that a region's traffic does not change
-/// abruptly. Not thread-safe.
+/// region is short of slots. Answers regions whose slots do not match their demand, at a start and
+/// when the demand moves; bursts shorter than a few seconds are refused or wait. A hash of the key
+/// selects the keys, so that the requests for an object stay in one region. The fraction changes
+/// slowly, so that a region's traffic does not change abruptly. Not thread-safe.
 class SpillControl
 {
 public:
@@ -53,9 +54,10 @@
   {
   }
 
-  /// Sets the shares for the first requests from the numbers of slots alone: running traffic must
-  /// not move abruptly between regions later, and after a start every object is cold. Call this
-  /// instead of UpdateShares until the first request has arrived.
+  /// Sets the shares for the first requests from the numbers of slots alone, so that the regions
+  /// are equally used if each has the same demand: running traffic must not move abruptly between
+  /// regions later, and after a start every object is cold and the load highest. Call this instead
+  /// of UpdateShares until the first request has arrived.
   void SetInitialShares(const std::vector<RegionUse>& aUses);
 
   /// Adapts the shares to the current utilization of the regions. Call several times a second.
--- a/lib/Steering/SpillControl.cpp
+++ b/lib/Steering/SpillControl.cpp
@@ -46,17 +46,20 @@
   if (ownSlots == 0)
     return;
   const double demandPerRegion = options_.expectedUse * totalSlots / regionsWithSlots;
+  if (demandPerRegion <= options_.moveAbove * ownSlots)
+    return;
+  // Slots of a region beyond those that its own requests would occupy if all slots of the fleet
+  // were equally used.
+  const double slotsPerRegion = totalSlots / regionsWithSlots;
   const auto spareSlotsOf = [&](const RegionUse& aUse) {
-    return aUse.region == self_ ? 0
-                                : std::max(0.0, options_.takeBelow * aUse.slots - demandPerRegion);
+    return aUse.region == self_ ? 0 : std::max(0.0, aUse.slots - slotsPerRegion);
   };
   double spareSlots = 0;
   for (const RegionUse& use : aUses)
     spareSlots += spareSlotsOf(use);
-  const double excessSlots = std::min(demandPerRegion - options_.moveAbove * ownSlots, spareSlots);
-  if (excessSlots <= 0)
+  if (spareSlots <= 0)
     return;
-  const double share = std::min(excessSlots / demandPerRegion, options_.maxShare);
+  const double share = std::min((slotsPerRegion - ownSlots) / slotsPerRegion, options_.maxShare);
   for (const RegionUse& use : aUses) {
     if (spareSlotsOf(use) > 0)
       shares_[use.region] = share * spareSlotsOf(use) / spareSlots;
@@ -89,6 +92,17 @@
     }
   }
 
+  // Between two other regions a move costs no more than one back, and leaves the own region alone.
+  const bool thirdHasRoom =
+    leastUtilized != nullptr && leastUtilized->region != mostUtilizedSpillRegion &&
+    Utilization(*leastUtilized) < options_.takeBelow && ownUtilization > options_.takeBelow;
+  if (maxSpillUtilization > options_.giveBackAbove && thirdHasRoom) {
+    double& share = shares_[mostUtilizedSpillRegion];
+    const double moved = std::min(share, shareChange);
+    share -= moved;
+    shares_[leastUtilized->region] += moved;
+    return;
+  }
   const bool otherIsWorseOff =
     maxSpillUtilization > options_.giveBackAbove && maxSpillUtilization > ownUtilization;
   if (otherIsWorseOff || (maxSpillUtilization >= 0 && ownUtilization < options_.returnBelow)) {
--- a/unittests/Steering/SpillControlTest.cpp
+++ b/unittests/Steering/SpillControlTest.cpp
@@ -114,8 +114,9 @@
   }
 }
 
-/// Guards against a region with few slots that starts with all of its own requests: all objects are
-/// cold, and moving a third of the running requests within seconds exceeds the bound on moves.
+/// Guards against a region with few slots that starts with more of its own requests than the others
+/// have for their slots: all objects are cold, and moving a third of the running requests within
+/// seconds exceeds the bound on moves. The regions have the same demand.
 Test(SpillControl, StartsWithSharesThatFitTheRegions)
 {
   struct Case
@@ -123,25 +124,50 @@
     double own;
     double east;
     double west;
-    double minShare; ///< Bounds of the share of requests that starts in other regions.
-    double maxShare;
+    double eastShare; ///< Of the requests of the own region.
+    double westShare;
   };
   static const Case kCases[] = {
-    { .own = 10, .east = 10, .west = 10, .minShare = 0, .maxShare = 0 },
-    { .own = 2, .east = 10, .west = 10, .minShare = 0.3, .maxShare = 0.6 },
-    { .own = 0, .east = 10, .west = 10, .minShare = 0, .maxShare = 0 },
-    { .own = 10, .east = 0, .west = 0, .minShare = 0, .maxShare = 0 },
-    { .own = 0, .east = 0, .west = 0, .minShare = 0, .maxShare = 0 },
+    { .own = 10, .east = 10, .west = 10, .eastShare = 0, .westShare = 0 },
+    { .own = 6, .east = 15, .west = 15, .eastShare = 0.25, .westShare = 0.25 },
+    { .own = 6, .east = 27, .west = 27, .eastShare = 0.35, .westShare = 0.35 },
+    { .own = 4, .east = 24, .west = 32, .eastShare = 0.8 / 4, .westShare = 0.8 * 3 / 4 },
+    { .own = 9, .east = 10, .west = 11, .eastShare = 0, .westShare = 0 },
+    { .own = 0, .east = 10, .west = 10, .eastShare = 0, .westShare = 0 },
+    { .own = 10, .east = 0, .west = 0, .eastShare = 0, .westShare = 0 },
+    { .own = 0, .east = 0, .west = 0, .eastShare = 0, .westShare = 0 },
   };
   for (const Case& sizes : kCases) {
     SpillControl control(RegionId("own"), {});
     control.SetInitialShares({ { .region = RegionId("own"), .slots = sizes.own },
                                { .region = RegionId("east"), .slots = sizes.east },
                                { .region = RegionId("west"), .slots = sizes.west } });
-    cr_assert(control.TotalShare() >= sizes.minShare && control.TotalShare() <= sizes.maxShare);
-    // The split between the other regions follows their free slots.
-    cr_assert(control.ShareOf(RegionId("east")) == control.ShareOf(RegionId("west")));
+    cr_assert(std::abs(control.ShareOf(RegionId("east")) - sizes.eastShare) < 1e-9);
+    cr_assert(std::abs(control.ShareOf(RegionId("west")) - sizes.westShare) < 1e-9);
   }
 }
 
+/// Replays a burst that fills the region which serves most requests of a small one, while a third
+/// region has free slots. Guards against requests that come back to the small region, which cannot
+/// serve them, or that stay in the full one.
+Test(SpillControl, MovesRequestsToAThirdRegion)
+{
+  SpillControl control(RegionId("own"), {});
+  control.SetInitialShares({ { .region = RegionId("own"), .slots = 4 },
+                             { .region = RegionId("east"), .slots = 24 },
+                             { .region = RegionId("west"), .slots = 32 } });
+  const double shareBefore = control.TotalShare();
+  const double westBefore = control.ShareOf(RegionId("west"));
+  TimePoint now{ 50s };
+  for (int step = 0; step < 20; ++step) {
+    now += 100ms;
+    control.UpdateShares(now,
+                         { { .region = RegionId("own"), .slots = 4, .busy = 4 },
+                           { .region = RegionId("east"), .slots = 24, .busy = 14 },
+                           { .region = RegionId("west"), .slots = 32, .busy = 40 } });
+  }
+  cr_assert(std::abs(control.TotalShare() - shareBefore) < 1e-9);
+  cr_assert(control.ShareOf(RegionId("west")) < westBefore - 0.05);
+}
+
 } // namespace
