Hold the quotas of workspaces over all VMs

Change: VMs report the demand for each workspace and the part that they admit with every load report that is 200 ms after the last one. Each VM computes from them how much all VMs have admitted beyond the rate and admits the same part of its requests as the others. VMs that are not heard are presumed to have the mean demand. Requests beyond the quota get 429.

--- a/include/dragonflymoor/Gateway/LoadExchange.h
+++ b/include/dragonflymoor/Gateway/LoadExchange.h
@@ -6,6 +6,7 @@
 #include "dragonflymoor/Steering/PeerMessages.h"
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,8 @@
   std::function<std::vector<InstanceLoad>()> readOwnLoad;
   /// Reads the load of all VMs of the own failure domain.
   std::function<std::vector<InstanceLoad>()> readDomainLoad;
+  /// Reads the demand for quotas of this VM, or of its failure domain; empty without quotas.
+  std::function<std::optional<QuotaReport>(bool aOfDomain)> readQuotas;
   std::function<void(const PeerEnvelope&)> messageReceived;
 };
 
@@ -51,11 +54,13 @@
     TimePoint nextSendTime;
     TimePoint lastSendTime;
     std::vector<InstanceLoad> lastSentLoads;
+    TimePoint nextQuotaTime;
   };
 
   asio::awaitable<void> Receive();
   void SetGroup(ReceiverGroup& aGroup, const LoadReceivers& aReceivers, bool aGetsDomainLoad) const;
-  /// Sends loads to the group, unless they are unchanged and were sent recently or are empty.
+  /// Sends loads to the group, unless they are unchanged and were sent recently or are empty and no
+  /// quotas are due.
   void SendLoads(ReceiverGroup& aGroup, TimePoint aNow);
   void Send(std::string_view aDatagram, const std::vector<UdpEndpoint>& aReceivers);
   /// Whether a report of another failure domain arrived directly from there, so that the VMs of the
--- a/include/dragonflymoor/Settings/SteeringSettings.h
+++ b/include/dragonflymoor/Settings/SteeringSettings.h
@@ -29,6 +29,7 @@
   double retryRatio = 0;   ///< Repeats of all VMs together for each request of a service.
   double retrySlack = 0;   ///< Repeats of all VMs together in each window besides.
   double maxShift = 0.15;  ///< Part of a region's requests that may change region within 2 s.
+  double quotaSlack = 0;   ///< Requests by which a workspace may exceed its quota in a window.
   Duration instanceReportPeriod = 1500ms; ///< At which instances renew their entries in the store.
   LogLevel logLevel = LogLevel::Info;
 
--- a/include/dragonflymoor/Shares/TokenBucket.h
+++ b/include/dragonflymoor/Shares/TokenBucket.h
@@ -37,12 +37,19 @@
 class DemandMeter
 {
 public:
+  /// Precondition: aTimeConstant is above 0.
+  explicit DemandMeter(Duration aTimeConstant = std::chrono::seconds(1))
+    : timeConstant_(aTimeConstant)
+  {
+  }
+
   /// Counts aAmount units that were asked for.
   void Add(double aAmount, TimePoint aNow);
-  /// Units a second, with a time constant of one second.
+  /// Units a second, smoothed over the time constant.
   double PerSecond(TimePoint aNow) const;
 
 private:
+  Duration timeConstant_;
   double level_ = 0;
   TimePoint last_;
 };
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -9,6 +9,7 @@
 #include "dragonflymoor/Steering/LeavingRuns.h"
 #include "dragonflymoor/Steering/ObjectCounter.h"
 #include "dragonflymoor/Steering/PeerLoads.h"
+#include "dragonflymoor/Steering/QuotaShares.h"
 #include "dragonflymoor/Steering/RecentFingerprints.h"
 #include "dragonflymoor/Steering/ReturnSchedule.h"
 #include "dragonflymoor/Steering/ShiftLimit.h"
@@ -91,6 +92,7 @@
   Quarantine, ///< The request crashed several instances.
   TimedOut,   ///< The deadline came while the request waited.
   Stopping,   ///< This VM stops before the request could be answered.
+  Quota,      ///< The workspace has used up its quota.
 };
 
 std::string_view
@@ -132,6 +134,8 @@
   /// Part of a region's requests that may change the region in which they run from one window to
   /// the next.
   double maxShift = 0.15;
+  /// Requests by which a workspace may exceed its quota in a window.
+  double quotaSlack = 0;
   SpillOptions spill;
 };
 
@@ -195,6 +199,8 @@
   std::vector<InstanceLoad> OwnLoad(TimePoint aNow) const;
   /// Requests of all VMs of the own failure domain at each instance, by their latest reports.
   std::vector<InstanceLoad> DomainLoad(TimePoint aNow) const;
+  /// Demand for quotas of this VM, or of its failure domain; empty while no workspace has a quota.
+  std::optional<QuotaReport> ReportQuotas(TimePoint aNow, bool aOfDomain) const;
   size_t WaitingCount() const;
   size_t InFlightCount() const;
   /// Delay after which a caller may come back that was refused although no service is overloaded.
@@ -252,6 +258,7 @@
     std::optional<BackendId> currentInstance; ///< The instance of the attempt in flight.
     /// An earlier attempt may have run the request.
     bool mayHaveRun = false;
+    std::optional<uint32_t> quota; ///< The workspace whose quota it took a request of.
     /// Cached while the request waits; cleared when the fleet or the tried instances change.
     std::map<RegionId, Ranking> rankings;
   };
@@ -278,6 +285,11 @@
     ReturnSchedule returns;
     bool hadRequests = false; ///< The service has had at least one request.
   };
+  /// Counts the request towards the quota of its workspace. Returns false after refusing it, when
+  /// the quota is used up; aRequest is gone then.
+  bool TakeQuota(TimePoint aNow, Ticket aTicket, Request& aRequest);
+  /// Brings the quotas in line with the manifest and the known VMs of view_.
+  void UpdateQuotas(TimePoint aNow);
   ServiceState& ServiceStateFor(const ServiceId& aService);
   /// Brings the trackers and candidates in line with the instances of view_. Takes time for the
   /// changes only: with hundreds of VMs, any instance of the fleet changes several times a second.
@@ -370,6 +382,7 @@
   std::map<ServiceId, ServiceState> services_;
   std::unordered_map<Ticket, Request> requests_;
   SplitChooser splits_;
+  QuotaShares quotas_;
   ShiftLimit shifts_;
   RetryBudget retries_;
   CrashRegistry crashes_;
--- a/include/dragonflymoor/Steering/PeerLoads.h
+++ b/include/dragonflymoor/Steering/PeerLoads.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYMOOR_STEERING_PEERLOADS_H
 #define DRAGONFLYMOOR_STEERING_PEERLOADS_H
 
+#include "dragonflymoor/Steering/QuotaReport.h"
 #include "dragonflymoor/Support/Id.h"
 #include "dragonflymoor/Support/Time.h"
 #include <cstdint>
@@ -37,6 +38,8 @@
   std::optional<FailureDomainId> domain; ///< Set in the sum of a failure domain's reports.
   std::vector<InstanceLoad> loads;       ///< Instances without requests are omitted.
   Duration life{};                       ///< Validity of the report unless a later one replaces it.
+  /// Of the same VMs; in some of the reports, if workspaces have quotas.
+  std::optional<QuotaReport> quotas;
 
   auto operator<=>(const PeerLoad&) const = default;
 };
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -187,8 +187,10 @@
       co_return nullptr;
     if (request.refusal) {
       LogRefusal(request);
-      auto answer = MakeOwnAnswer(
-        http::status::service_unavailable, dfm::ToString(request.refusal->reason), request);
+      const auto status = request.refusal->reason == RefusalReason::Quota
+                            ? http::status::too_many_requests
+                            : http::status::service_unavailable;
+      auto answer = MakeOwnAnswer(status, dfm::ToString(request.refusal->reason), request);
       answer->set(http::field::retry_after,
                   fmt::format("{:.2f}", ToSeconds(request.refusal->retryAfter)));
       co_return answer;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -123,7 +123,8 @@
                                   .randomSeed = random.Next(),
                                   .retryRatio = settings.retryRatio,
                                   .retrySlack = settings.retrySlack,
-                                  .maxShift = settings.maxShift },
+                                  .maxShift = settings.maxShift,
+                                  .quotaSlack = settings.quotaSlack },
                MakeDispatcherHooks())
   , instanceClient(trafficContext,
                    options.platform.protocol,
@@ -138,6 +139,10 @@
       LoadExchangeHooks{
         .readOwnLoad = [this] { return dispatcher.OwnLoad(ReadClocks().monotonic); },
         .readDomainLoad = [this] { return dispatcher.DomainLoad(ReadClocks().monotonic); },
+        .readQuotas =
+          [this](bool aOfDomain) {
+            return dispatcher.ReportQuotas(ReadClocks().monotonic, aOfDomain);
+          },
         .messageReceived = [this](const PeerEnvelope& aEnvelope) { OnPeerMessage(aEnvelope); },
       })
   , fleetSync(controlContext,
--- a/lib/Gateway/LoadExchange.cpp
+++ b/lib/Gateway/LoadExchange.cpp
@@ -22,6 +22,9 @@
 /// loads after 1 s.
 constexpr Duration kUnchangedLoadsRepeatPeriod = 300ms;
 
+/// Time between two reports with the demand for quotas, which changes more slowly than the loads.
+constexpr Duration kQuotaPeriod = 200ms;
+
 /// Size of the receive buffer: above the largest payload of a UDP datagram.
 constexpr size_t kMaxDatagramBytes = 64UL * 1024;
 
@@ -101,12 +104,20 @@
   std::vector<InstanceLoad> loads =
     aGroup.getsDomainLoad ? hooks_.readDomainLoad() : hooks_.readOwnLoad();
   const bool loadsUnchanged = loads == aGroup.lastSentLoads;
-  if (loadsUnchanged && (loads.empty() || aNow - aGroup.lastSendTime < kUnchangedLoadsRepeatPeriod))
+  const bool repeatsNothing =
+    loadsUnchanged && (loads.empty() || aNow - aGroup.lastSendTime < kUnchangedLoadsRepeatPeriod);
+  std::optional<QuotaReport> quotas;
+  if (aNow >= aGroup.nextQuotaTime)
+    quotas = hooks_.readQuotas(aGroup.getsDomainLoad);
+  if (repeatsNothing && !quotas)
     return;
+  if (quotas)
+    aGroup.nextQuotaTime = aNow + kQuotaPeriod;
   aGroup.lastSentLoads = loads;
   aGroup.lastSendTime = aNow;
   PeerLoad report{ .loads = std::move(loads),
-                   .life = std::max(kMinReportLife, kReportLifePeriods * aGroup.period) };
+                   .life = std::max(kMinReportLife, kReportLifePeriods * aGroup.period),
+                   .quotas = std::move(quotas) };
   if (aGroup.getsDomainLoad) {
     report.domain = self_.failureDomain;
     report.life = std::max(report.life, kMinRelayedReportLife);
--- a/lib/Settings/SteeringSettings.cpp
+++ b/lib/Settings/SteeringSettings.cpp
@@ -99,6 +99,7 @@
   settings.retryRatio = root.Real("retryRatio", settings.retryRatio, 0, 1);
   settings.retrySlack = root.Real("retrySlack", settings.retrySlack, 0, 1e6);
   settings.maxShift = root.Real("maxShift", settings.maxShift, 0, 1);
+  settings.quotaSlack = root.Real("quotaSlack", settings.quotaSlack, 0, 1e6);
   settings.instanceReportPeriod =
     ReadSeconds(root, "instanceReportSeconds", ToSeconds(settings.instanceReportPeriod));
   root.Finish();
--- a/lib/Shares/TokenBucket.cpp
+++ b/lib/Shares/TokenBucket.cpp
@@ -6,13 +6,6 @@
 
 namespace dfm {
 
-namespace {
-
-/// Time constant of DemandMeter in seconds.
-constexpr double kDemandTime = 1;
-
-} // namespace
-
 TokenBucket::TokenBucket(BucketOptions aOptions)
   : options_(aOptions)
 {
@@ -47,14 +40,14 @@
 void
 DemandMeter::Add(double aAmount, TimePoint aNow)
 {
-  level_ = PerSecond(aNow) + aAmount / kDemandTime;
+  level_ = PerSecond(aNow) + aAmount / ToSeconds(timeConstant_);
   last_ = aNow;
 }
 
 double
 DemandMeter::PerSecond(TimePoint aNow) const
 {
-  return level_ * std::exp(-ToSeconds(aNow - last_) / kDemandTime);
+  return level_ * std::exp(-ToSeconds(aNow - last_) / ToSeconds(timeConstant_));
 }
 
 } // namespace dfm
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -24,16 +24,6 @@
 /// Maximum number of instances that one request tries, including those that could not be reached.
 constexpr size_t kMaxTried = 5;
 
-/// An instance with requests in flight that has not answered for this many times the usual latency,
-/// and at least kMinSilence, is taken for unreachable until a health check passes. Slow instances
-/// answer within this factor.
-constexpr double kSilenceFactor = 4;
-constexpr Duration kMinSilence = 400ms;
-
-/// A silent instance is not checked before this many times its service's latency goal either: after
-/// a start the latency is unknown, and cold objects take longer than the goal.
-constexpr double kMinSilenceGoals = 2;
-
 constexpr Duration kSilenceCheckPeriod = 50ms;
 
 /// Period at which the claims of the rates that instances take follow the demand.
@@ -87,6 +77,8 @@
       return "timed-out";
     case RefusalReason::Stopping:
       return "stopping";
+    case RefusalReason::Quota:
+      return "quota";
   }
   return "unknown";
 }
@@ -96,6 +88,7 @@
   , hooks_(std::move(aHooks))
   , random_(options_.randomSeed)
   , view_(std::make_shared<FleetView>())
+  , quotas_({ .slack = options_.quotaSlack, .randomSeed = random_.Next() })
   , shifts_(options_.region, kShiftLimitShare * options_.maxShift)
   , retries_({ .earnedPerRequest = kRetryBudgetShare * options_.retryRatio, .burst = 1 })
   , crashes_(kCrashOptions, random_.Next())
@@ -133,6 +126,8 @@
     if (vm.failureDomain == options_.failureDomain && vm.id != options_.self)
       otherVmsInDomain_.insert(vm.id);
   }
+  if (view_->routes != before->routes || view_->knownVms != before->knownVms)
+    UpdateQuotas(aNow);
   ApplyInstanceChanges(aNow, FindInstanceChanges(*before->instances, *view_->instances));
   if (view_->evacuated != before->evacuated)
     UpdateEvacuated();
@@ -157,6 +152,8 @@
   if (request.sticky)
     state.objects.OnRequest(request.key);
   Request& stored = requests_.insert_or_assign(aTicket, std::move(request)).first->second;
+  if (!TakeQuota(aNow, aTicket, stored))
+    return;
   if (crashes_.IsBlocked(aNow, {}, stored.spec.fingerprint)) {
     Refuse(aNow, aTicket, RefusalReason::Quarantine);
     return;
@@ -237,15 +234,6 @@
   StartWaitingRequests(aNow, service);
 }
 
-void
-Dispatcher::ReportCrashes(TimePoint aNow, InstanceTracker& aInstance)
-{
-  for (const uint64_t fingerprint : aInstance.TakeCrashSuspects(aNow)) {
-    if (!survived_.Contains(aNow, fingerprint))
-      hooks_.publishCrash(crashes_.OnCrash(aNow, {}, fingerprint));
-  }
-}
-
 void
 Dispatcher::RecordAttemptEnd(TimePoint aNow,
                              const Request& aRequest,
@@ -336,6 +324,8 @@
       verdict = Verdict::Retry;
     else if (!failedAnswer)
       verdict = request.mayHaveRun ? Verdict::Fail : Verdict::Refuse;
+    if (verdict == Verdict::Refuse && request.quota)
+      quotas_.Return(aNow, *request.quota);
   }
   if (verdict == Verdict::Retry) {
     if (!TryStart(aNow, aTicket, request))
@@ -347,43 +337,6 @@
   return verdict;
 }
 
-void
-Dispatcher::AbandonAttempts(const BackendId& aInstance)
-{
-  std::vector<Ticket> abandoned;
-  for (const auto& [ticket, request] : requests_) {
-    if (request.currentInstance == aInstance && request.spec.route->idempotent)
-      abandoned.push_back(ticket);
-  }
-  for (const Ticket ticket : abandoned)
-    hooks_.abandonAttempt(ticket);
-}
-
-void
-Dispatcher::OnProbe(TimePoint aNow,
-                    const BackendId& aInstance,
-                    ProbeResult aResult,
-                    Duration aColdLeft)
-{
-  InstanceTracker* const instance = FindInstance(aInstance);
-  if (instance == nullptr)
-    return;
-  const bool wasDown = instance->IsDown();
-  const bool isGone =
-    aResult == ProbeResult::Refused ||
-    (wasDown && (aResult == ProbeResult::Unreachable || aResult == ProbeResult::Closed));
-  instance->OnProbe(aNow, aResult, aColdLeft);
-  if (instance->IsCold(aNow))
-    instance->SetColdRate(aNow, ColdRateFor(instance->Spec()));
-  UpdateIndexes(aNow, *instance);
-  if (isGone) {
-    ReportCrashes(aNow, *instance);
-    AbandonAttempts(aInstance);
-    return;
-  }
-  StartWaitingRequests(aNow, instance->Spec().service);
-}
-
 bool
 Dispatcher::OnInstanceStatement(TimePoint aNow,
                                 const InstanceRun& aRun,
@@ -426,6 +379,10 @@
 void
 Dispatcher::OnPeerLoad(TimePoint aNow, const VmId& aVm, const PeerLoad& aLoad)
 {
+  if (aLoad.quotas) {
+    const LoadSource source = aLoad.domain ? LoadSource(*aLoad.domain) : LoadSource(aVm);
+    quotas_.OnReport(aNow, source, *aLoad.quotas, aLoad.life);
+  }
   // Waiting requests use the freed slots from the next tick on: with many VMs, reports arrive far
   // more often than ticks.
   ApplyPeerLoads(peerLoads_.OnReport(aNow, aVm, aLoad));
@@ -449,46 +406,12 @@
   crashes_.OnReport(aNow, aReport);
 }
 
-void
-Dispatcher::CheckSilentInstances(TimePoint aNow)
-{
-  for (const auto& [hash, instance] : instancesInUse_) {
-    const ServiceState& state = ServiceStateFor(instance->Spec().service);
-    const Duration usual = std::max(state.typicalLatency, instance->MeanLatency());
-    const Duration maxSilence = std::max(
-      { kMinSilence, Scale(usual, kSilenceFactor), Scale(state.longestGoal, kMinSilenceGoals) });
-    if (aNow - instance->LastResponseTime() <= maxSilence)
-      continue;
-    instance->OnUnreachable(aNow);
-    instancesChecked_.insert_or_assign(hash, instance);
-  }
-}
-
-void
-Dispatcher::SendDueProbes(TimePoint aNow)
-{
-  if (view_->routes == nullptr)
-    return;
-  const auto& specs = view_->routes->GetManifest().services;
-  std::vector<InstanceTracker*> due;
-  for (const auto& [hash, instance] : instancesChecked_) {
-    const auto probeTime = instance->NextProbeTime();
-    if (probeTime && *probeTime <= aNow && specs.contains(instance->Spec().service) &&
-        !instance->IsLeaving())
-      due.push_back(instance);
-  }
-  for (InstanceTracker* const instance : due) {
-    instance->OnProbeSent(aNow);
-    UpdateIndexes(aNow, *instance);
-    hooks_.sendProbe(instance->Spec(), specs.at(instance->Spec().service));
-  }
-}
-
 void
 Dispatcher::OnTick(TimePoint aNow)
 {
   if (aNow >= nextSilenceCheck_) {
     ApplyPeerLoads(peerLoads_.DropExpired(aNow));
+    quotas_.OnTick(aNow);
     nextSilenceCheck_ = aNow + kSilenceCheckPeriod;
     CheckSilentInstances(aNow);
     SendDueProbes(aNow);
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -28,6 +28,51 @@
   Offset<void> table;
 };
 
+/// A QuotaReport in the form of the fields of a load report.
+struct QuotaFields
+{
+  uint16_t vms = 0; ///< 0 without a report.
+  std::vector<uint32_t> workspaces;
+  std::vector<uint32_t> demands;
+  std::vector<uint8_t> ratios;
+};
+
+QuotaFields
+EncodeQuotas(const std::optional<QuotaReport>& aReport)
+{
+  QuotaFields fields;
+  if (!aReport)
+    return fields;
+  constexpr unsigned kMaxVms = std::numeric_limits<uint16_t>::max();
+  fields.vms = static_cast<uint16_t>(std::min(aReport->vms, kMaxVms));
+  for (const QuotaDemand& demand : aReport->demands) {
+    fields.workspaces.push_back(demand.workspace);
+    fields.demands.push_back(demand.demand);
+    fields.ratios.push_back(demand.admittedRatio);
+  }
+  return fields;
+}
+
+Decoded<std::optional<QuotaReport>>
+DecodeQuotas(const wire::LoadReport& aReport)
+{
+  if (aReport.quota_vms() == 0)
+    return std::nullopt;
+  QuotaReport report{ .vms = aReport.quota_vms() };
+  const auto* workspaces = aReport.quota_workspaces();
+  const auto* demands = aReport.quota_demands();
+  const auto* ratios = aReport.quota_ratios();
+  if (workspaces == nullptr || demands == nullptr || ratios == nullptr ||
+      demands->size() != workspaces->size() || ratios->size() != workspaces->size())
+    return tl::unexpected(CodecError{ "load report: lists of quotas differ in length" });
+  report.demands.reserve(workspaces->size());
+  for (flatbuffers::uoffset_t i = 0; i < workspaces->size(); ++i)
+    report.demands.push_back({ .workspace = workspaces->Get(i),
+                               .demand = demands->Get(i),
+                               .admittedRatio = ratios->Get(i) });
+  return report;
+}
+
 Body
 Encode(FlatBufferBuilder& aBuilder, const PeerLoad& aLoad)
 {
@@ -41,6 +86,7 @@
   }
   const bool hasClaims =
     std::any_of(claims.begin(), claims.end(), [](uint16_t aClaim) { return aClaim > 0; });
+  const auto quotas = EncodeQuotas(aLoad.quotas);
   const int64_t lifeMs = std::chrono::duration_cast<std::chrono::milliseconds>(aLoad.life).count();
   return { wire::SteeringBody::LoadReport,
            wire::CreateLoadReportDirect(aBuilder,
@@ -48,7 +94,11 @@
                                         &inFlight,
                                         static_cast<uint16_t>(std::min(lifeMs, kMaxLifeMs)),
                                         aLoad.domain ? aLoad.domain->Value().c_str() : nullptr,
-                                        hasClaims ? &claims : nullptr)
+                                        hasClaims ? &claims : nullptr,
+                                        quotas.vms,
+                                        quotas.vms > 0 ? &quotas.workspaces : nullptr,
+                                        quotas.vms > 0 ? &quotas.demands : nullptr,
+                                        quotas.vms > 0 ? &quotas.ratios : nullptr)
              .Union() };
 }
 
@@ -149,6 +199,10 @@
   PeerLoad load{ .life = std::chrono::milliseconds(aReport.life_ms()) };
   if (aReport.domain() != nullptr)
     load.domain = FailureDomainId(aReport.domain()->str());
+  auto quotas = DecodeQuotas(aReport);
+  if (!quotas)
+    return tl::unexpected(quotas.error());
+  load.quotas = std::move(*quotas);
   const auto* instances = aReport.instances();
   const auto* inFlight = aReport.in_flight();
   if (instances == nullptr || inFlight == nullptr)
--- a/lib/Steering/RequestQueue.cpp
+++ b/lib/Steering/RequestQueue.cpp
@@ -95,6 +95,8 @@
       refusal.knownInFlight += candidate.tracker->KnownInFlight();
     }
   }
+  if (request.quota && !request.mayHaveRun)
+    quotas_.Return(aNow, *request.quota);
   requests_.erase(found);
   hooks_.refuseRequest(aTicket, refusal);
 }
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -122,7 +122,11 @@
     VT_IN_FLIGHT = 6,
     VT_LIFE_MS = 8,
     VT_DOMAIN = 10,
-    VT_CLAIMS = 12
+    VT_CLAIMS = 12,
+    VT_QUOTA_VMS = 14,
+    VT_QUOTA_WORKSPACES = 16,
+    VT_QUOTA_DEMANDS = 18,
+    VT_QUOTA_RATIOS = 20
   };
   const flatbuffers::Vector<uint32_t> *instances() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_INSTANCES);
@@ -139,6 +143,18 @@
   const flatbuffers::Vector<uint16_t> *claims() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_CLAIMS);
   }
+  uint16_t quota_vms() const {
+    return GetField<uint16_t>(VT_QUOTA_VMS, 0);
+  }
+  const flatbuffers::Vector<uint32_t> *quota_workspaces() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_QUOTA_WORKSPACES);
+  }
+  const flatbuffers::Vector<uint32_t> *quota_demands() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_QUOTA_DEMANDS);
+  }
+  const flatbuffers::Vector<uint8_t> *quota_ratios() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_QUOTA_RATIOS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCES) &&
@@ -150,6 +166,13 @@
            verifier.VerifyString(domain()) &&
            VerifyOffset(verifier, VT_CLAIMS) &&
            verifier.VerifyVector(claims()) &&
+           VerifyField<uint16_t>(verifier, VT_QUOTA_VMS, 2) &&
+           VerifyOffset(verifier, VT_QUOTA_WORKSPACES) &&
+           verifier.VerifyVector(quota_workspaces()) &&
+           VerifyOffset(verifier, VT_QUOTA_DEMANDS) &&
+           verifier.VerifyVector(quota_demands()) &&
+           VerifyOffset(verifier, VT_QUOTA_RATIOS) &&
+           verifier.VerifyVector(quota_ratios()) &&
            verifier.EndTable();
   }
 };
@@ -173,6 +196,18 @@
   void add_claims(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> claims) {
     fbb_.AddOffset(LoadReport::VT_CLAIMS, claims);
   }
+  void add_quota_vms(uint16_t quota_vms) {
+    fbb_.AddElement<uint16_t>(LoadReport::VT_QUOTA_VMS, quota_vms, 0);
+  }
+  void add_quota_workspaces(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> quota_workspaces) {
+    fbb_.AddOffset(LoadReport::VT_QUOTA_WORKSPACES, quota_workspaces);
+  }
+  void add_quota_demands(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> quota_demands) {
+    fbb_.AddOffset(LoadReport::VT_QUOTA_DEMANDS, quota_demands);
+  }
+  void add_quota_ratios(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> quota_ratios) {
+    fbb_.AddOffset(LoadReport::VT_QUOTA_RATIOS, quota_ratios);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -190,12 +225,20 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> in_flight = 0,
     uint16_t life_ms = 0,
     flatbuffers::Offset<flatbuffers::String> domain = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> claims = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> claims = 0,
+    uint16_t quota_vms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> quota_workspaces = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> quota_demands = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> quota_ratios = 0) {
   LoadReportBuilder builder_(_fbb);
+  builder_.add_quota_ratios(quota_ratios);
+  builder_.add_quota_demands(quota_demands);
+  builder_.add_quota_workspaces(quota_workspaces);
   builder_.add_claims(claims);
   builder_.add_domain(domain);
   builder_.add_in_flight(in_flight);
   builder_.add_instances(instances);
+  builder_.add_quota_vms(quota_vms);
   builder_.add_life_ms(life_ms);
   return builder_.Finish();
 }
@@ -206,18 +249,29 @@
     const std::vector<uint8_t> *in_flight = nullptr,
     uint16_t life_ms = 0,
     const char *domain = nullptr,
-    const std::vector<uint16_t> *claims = nullptr) {
+    const std::vector<uint16_t> *claims = nullptr,
+    uint16_t quota_vms = 0,
+    const std::vector<uint32_t> *quota_workspaces = nullptr,
+    const std::vector<uint32_t> *quota_demands = nullptr,
+    const std::vector<uint8_t> *quota_ratios = nullptr) {
   auto instances__ = instances ? _fbb.CreateVector<uint32_t>(*instances) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<uint8_t>(*in_flight) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto claims__ = claims ? _fbb.CreateVector<uint16_t>(*claims) : 0;
+  auto quota_workspaces__ = quota_workspaces ? _fbb.CreateVector<uint32_t>(*quota_workspaces) : 0;
+  auto quota_demands__ = quota_demands ? _fbb.CreateVector<uint32_t>(*quota_demands) : 0;
+  auto quota_ratios__ = quota_ratios ? _fbb.CreateVector<uint8_t>(*quota_ratios) : 0;
   return dfm::wire::CreateLoadReport(
       _fbb,
       instances__,
       in_flight__,
       life_ms,
       domain__,
-      claims__);
+      claims__,
+      quota_vms,
+      quota_workspaces__,
+      quota_demands__,
+      quota_ratios__);
 }
 
 struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/unittests/Gateway/LoadExchangeTest.cpp
+++ b/unittests/Gateway/LoadExchangeTest.cpp
@@ -50,6 +50,7 @@
                           self,
                           { .readOwnLoad = [] { return std::vector<InstanceLoad>(); },
                             .readDomainLoad = [] { return std::vector<InstanceLoad>(); },
+                            .readQuotas = [](bool) { return std::optional<QuotaReport>(); },
                             .messageReceived = [&](const PeerEnvelope&) { ++received; } });
     const error_code openError = exchange.Open({ .address = self.peers.address, .port = port });
     cr_assert(openError == error_code());
