--- a/include/dragonflymoor/Steering/QuotaShares.h
+++ b/include/dragonflymoor/Steering/QuotaShares.h
@@ -112,6 +112,7 @@
     /// VMs get only a few requests of a small workspace.
     double credit = 0;
     TimePoint updatedAt;
+    TimePoint burstAllowedAt; ///< The burst is saved up again from then on.
   };
   struct Report
   {
@@ -120,7 +121,7 @@
     bool heard = true;
   };
 
-  double MaxBalance(const Quota& aQuota) const;
+  double MaxBalance(TimePoint aNow, const State& aState) const;
   /// Part of the requests that each VM may admit now.
   double AdmittedPart(TimePoint aNow, const State& aState) const;
   /// Requests a second that the callers of all VMs ask for.
--- a/lib/Steering/QuotaShares.cpp
+++ b/lib/Steering/QuotaShares.cpp
@@ -17,6 +17,10 @@
 constexpr double kBurstShare = 0.3;
 constexpr double kSlackShare = 0.25;
 
+/// Time after an excess in which no burst is saved up: two surges in one of the platform's windows
+/// would both exceed the rate until the VMs know of them.
+constexpr Duration kBurstInterval = 5s;
+
 /// Excess with which a VM starts, in seconds of the rate: it does not know what was admitted
 /// before, and all VMs may have restarted. It takes nothing from a demand that is well below the
 /// quota.
@@ -100,9 +104,10 @@
 }
 
 double
-QuotaShares::MaxBalance(const Quota& aQuota) const
+QuotaShares::MaxBalance(TimePoint aNow, const State& aState) const
 {
-  return kBurstShare * aQuota.burst + kSlackShare * options_.slack;
+  const double burst = aNow < aState.burstAllowedAt ? 0 : kBurstShare * aState.quota.burst;
+  return burst + kSlackShare * options_.slack;
 }
 
 void
@@ -116,7 +121,7 @@
     if (!isNew) {
       Update(aNow, state);
       state.quota = quota;
-      state.balance = std::min(state.balance, MaxBalance(quota));
+      state.balance = std::min(state.balance, MaxBalance(aNow, state));
       continue;
     }
     state = { .quota = quota,
@@ -172,9 +177,10 @@
   const double admitted = aState.admitted.PerSecond(aNow) + aState.heard.admitted +
                           SilentDemand(aNow, aState) * AdmittedPart(aNow, aState);
   const double rate = aState.quota.requestsPerSecond;
-  aState.balance = std::clamp(aState.balance + (rate - admitted) * ToSeconds(elapsed),
-                              -kMaxDebtSeconds * rate,
-                              MaxBalance(aState.quota));
+  const double balance = aState.balance + (rate - admitted) * ToSeconds(elapsed);
+  if (balance < 0)
+    aState.burstAllowedAt = aNow + kBurstInterval;
+  aState.balance = std::clamp(balance, -kMaxDebtSeconds * rate, MaxBalance(aNow, aState));
 }
 
 QuotaDecision
