Use the load that instances state and judge failures by the service's

An instance that shed a request counted as full for 40 ms and, above 20 % of failures, as degraded. When all instances shed a fifth of their requests at random, requests waited or were refused although slots were free. The load that instances state in X-Server-Load was not read.

The stated load now corrects the known requests upwards for 50 ms. A shed does not mean full when its answer states free slots. Degraded is relative to the service's moving mean share of failures. A stated load is no new statement, so it is neither logged nor counted; one that cannot be read counts as missing.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -273,10 +273,15 @@
     std::list<Ticket> queue;   ///< In order of arrival.
     Duration typicalLatency{}; ///< Moving mean of answers of all instances.
     Duration longestGoal{};    ///< Of its routes that had requests.
+    /// Moving mean over answers of all instances.
+    double typicalFailureShare = 0;
     ObjectCounter objects;
     SpillControl spill;
     ReturnSchedule returns;
     bool hadRequests = false; ///< The service has had at least one request.
+
+    /// Adds the end of an attempt to typicalFailureShare when it says something about the service.
+    void CountFailure(const AttemptEndReport& aReport);
   };
   ServiceState& ServiceStateFor(const ServiceId& aService);
   /// Brings the trackers and candidates in line with the instances of view_. Takes time for the
--- a/include/dragonflymoor/Steering/InstanceStatement.h
+++ b/include/dragonflymoor/Steering/InstanceStatement.h
@@ -9,6 +9,19 @@
 
 namespace dfm {
 
+/// The load of an instance by its own count, at the moment of one of its answers. The answered
+/// request is not part of it.
+struct StatedLoad
+{
+  unsigned running = 0; ///< Requests of all VMs that have a slot.
+  unsigned waiting = 0; ///< Requests of all VMs that wait for a slot at the instance.
+  unsigned slots = 0;
+  /// Present duration of its work as a multiple of the usual one; empty when it is not stated.
+  std::optional<double> slowness;
+
+  auto operator<=>(const StatedLoad&) const = default;
+};
+
 /// What an instance states about itself in one of its answers.
 struct InstanceStatement
 {
@@ -18,7 +31,12 @@
   std::optional<double> maxRequestsPerSecond;
   /// It wants no request from this VM for this long.
   std::optional<Duration> pause;
-  /// A value could not be read; what is known from earlier statements still holds.
+  /// Empty when it is missing or malformed.
+  std::optional<StatedLoad> load;
+  /// A load was stated that could not be read.
+  bool malformedLoad = false;
+  /// A value other than the load could not be read; what is known from earlier statements still
+  /// holds.
   bool malformed = false;
 
   auto operator<=>(const InstanceStatement&) const = default;
--- a/include/dragonflymoor/Steering/InstanceTracker.h
+++ b/include/dragonflymoor/Steering/InstanceTracker.h
@@ -3,6 +3,7 @@
 
 #include "dragonflymoor/Shares/TokenBucket.h"
 #include "dragonflymoor/Steering/FleetView.h"
+#include "dragonflymoor/Steering/InstanceStatement.h"
 #include "dragonflymoor/Steering/RateClaim.h"
 #include "dragonflymoor/Support/Time.h"
 #include <optional>
@@ -72,15 +73,19 @@
 
   /// Whether and why the instance must not get a request now, slots aside.
   Unusable UnusableReasonAt(TimePoint aNow) const;
-  /// Slots that no known request uses; negative when it is overfull.
+  /// Slots that no known request uses; negative when it is overfull. A load that the instance
+  /// stated a moment ago counts when it is above what the VMs report.
   int FreeSlots(TimePoint aNow) const;
   /// Requests of all VMs that are known to be at the instance.
   unsigned KnownInFlight() const { return inFlight_ + peerInFlight_; }
   unsigned OwnInFlight() const { return inFlight_; }
-  /// A poor choice while others have free slots: it fails or sheds often, or is far slower than
-  /// aTypicalLatency. Returns false for one request from time to time, so that a recovery is
-  /// noticed.
-  bool IsDegraded(TimePoint aNow, Duration aTypicalLatency) const;
+  /// A poor choice while others have free slots: it fails or sheds far more often than
+  /// aTypicalFailureShare, a share from 0 to 1, or is far slower than aTypicalLatency. Returns
+  /// false for one request from time to time, so that a recovery is noticed.
+  bool IsDegraded(TimePoint aNow, Duration aTypicalLatency, double aTypicalFailureShare) const;
+
+  /// An answer of the present run stated aLoad. To be called before OnEnd for its request.
+  void OnStatedLoad(TimePoint aNow, const StatedLoad& aLoad);
 
   /// Takes one request of the cold rate when the instance is cold. Must be called right before a
   /// request is sent.
@@ -120,6 +125,9 @@
   /// Adds what the cold rate has allowed since the last call.
   void RefillColdBucket(TimePoint aNow) const;
   void DropCrashSuspects();
+  /// Requests of all VMs at the instance, by the reports of the VMs or by its own recent statement,
+  /// whichever says more.
+  unsigned InFlightAt(TimePoint aNow) const;
 
   Instance spec_;
   uint64_t idHash_ = 0;
@@ -133,8 +141,15 @@
   mutable std::optional<TimePoint> lastColdRefill_;
   double coldRate_ = 0;
   RateClaim rate_;
-  double failureShare_ = 0;  ///< Moving mean over answers.
-  unsigned answerCount_ = 0; ///< Since the start of the run, bounded.
+  struct LoadStatement
+  {
+    TimePoint statedAt;
+    StatedLoad load;
+    unsigned ownInFlight = 0; ///< Of this VM at that moment, without the answered request.
+  };
+  std::optional<LoadStatement> loadStatement_; ///< The latest one.
+  double failureShare_ = 0;                    ///< Moving mean over answers.
+  unsigned answerCount_ = 0;                   ///< Since the start of the run, bounded.
   Duration meanLatency_{};
   TimePoint lastResponseTime_;
   TimePoint shedUntil_;     ///< Counts as full until then.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -247,6 +247,8 @@
 {
   if (aStatement.malformed)
     metrics.Count("instance-statements-malformed");
+  if (aStatement.malformedLoad)
+    metrics.Count("stated-loads-malformed");
   if (!dispatcher.OnInstanceStatement(ReadClocks().monotonic, aRun, aStatement))
     return;
   metrics.Count("instance-statements");
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -255,6 +255,7 @@
   using Kind = AttemptEndReport::Kind;
   ServiceState& state = ServiceStateFor(aRequest.service);
   aInstance.OnEnd();
+  state.CountFailure(aReport);
   switch (aReport.kind) {
     case Kind::Answered:
       survived_.Add(aNow, aRequest.spec.fingerprint);
@@ -398,6 +399,9 @@
     instance->SetLeaving(true);
   if (aStatement.pause)
     instance->OnPause(aNow, *aStatement.pause);
+  // A load changes with each answer, so it is no new statement.
+  if (aStatement.load)
+    instance->OnStatedLoad(aNow, *aStatement.load);
   if (!aStatement.malformed || aStatement.maxRequestsPerSecond)
     isNew = instance->Rate().OnStatement(aNow, aStatement.maxRequestsPerSecond) || isNew;
   UpdateIndexes(aNow, *instance);
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -55,8 +55,23 @@
   return static_cast<double>(MixHash(aKey, 0)) / kRange;
 }
 
+/// Weight of the latest answer in a service's moving mean share of failures, which thus covers some
+/// dozens of answers.
+constexpr double kFailureWeight = 0.03;
+
 } // namespace
 
+void
+Dispatcher::ServiceState::CountFailure(const AttemptEndReport& aReport)
+{
+  using Kind = AttemptEndReport::Kind;
+  const bool answered = aReport.kind == Kind::Answered;
+  const bool failed = (answered && aReport.status >= 500) || aReport.kind == Kind::Broken ||
+                      (aReport.kind == Kind::NotExecuted && !aReport.wrongInstance);
+  if (answered || failed)
+    typicalFailureShare += kFailureWeight * ((failed ? 1.0 : 0.0) - typicalFailureShare);
+}
+
 double
 Dispatcher::ColdRateFor(const Instance& aInstance) const
 {
@@ -132,7 +147,7 @@
       { .instance = state,
         .weight = MixHash(aRequest.key, candidate.hash),
         .domain = candidate.domain,
-        .degraded = state->IsDegraded(aNow, aState.typicalLatency),
+        .degraded = state->IsDegraded(aNow, aState.typicalLatency, aState.typicalFailureShare),
         .inOtherDomain = candidates.domains[candidate.domain] != options_.failureDomain });
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
@@ -177,7 +192,8 @@
     if (instance.FreeSlots(aNow) <= 0 || instance.UnusableReasonAt(aNow) != Unusable::None)
       continue;
     // The instance became degraded, or got its trial request, after the ranking.
-    if (!candidate.degraded && instance.IsDegraded(aNow, aState.typicalLatency))
+    if (!candidate.degraded &&
+        instance.IsDegraded(aNow, aState.typicalLatency, aState.typicalFailureShare))
       continue;
     return candidate.instance;
   }
--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -16,9 +16,12 @@
 /// Answers needed before the moving means are used to judge an instance.
 constexpr unsigned kMinAnswers = 8;
 
-/// Share of failed answers above which other instances are preferred. Applications fail one request
-/// in a thousand; grey instances fail several in ten.
+/// Share of failed answers, beyond the service's usual one, above which other instances are
+/// preferred. Applications fail one request in a thousand; grey instances fail several in ten. When
+/// all instances shed a part of their requests, none is worse than the others.
 constexpr double kDegradedFailureShare = 0.2;
+/// An instance that fails more than this is degraded whatever the others do.
+constexpr double kMaxUsualFailureShare = 0.9;
 
 /// An instance whose mean latency is this many times the service's is preferred last. An instance
 /// that serves only cold objects stays below it, as a warm object saves at most 70 % of the work.
@@ -41,6 +44,10 @@
 /// slots becomes free.
 constexpr Duration kFullAfterShed = 40ms;
 
+/// How long a load counts that an instance stated; about the period of the load reports, after
+/// which these say the same.
+constexpr Duration kStatedLoadLifetime = 50ms;
+
 /// Wait before the first health check of an instance that is down, and the longest wait; each
 /// failed check doubles it. Checks are priced, so they slow down.
 constexpr Duration kFirstProbeWait = 100ms;
@@ -158,15 +165,36 @@
 {
   if (aNow < shedUntil_)
     return 0;
-  return static_cast<int>(spec_.slots) - static_cast<int>(KnownInFlight());
+  return static_cast<int>(spec_.slots) - static_cast<int>(InFlightAt(aNow));
+}
+
+unsigned
+InstanceTracker::InFlightAt(TimePoint aNow) const
+{
+  if (!loadStatement_ || aNow - loadStatement_->statedAt > kStatedLoadLifetime)
+    return KnownInFlight();
+  const unsigned stated = loadStatement_->load.running + loadStatement_->load.waiting + inFlight_;
+  const unsigned ownThen = loadStatement_->ownInFlight;
+  return std::max(KnownInFlight(), stated > ownThen ? stated - ownThen : 0);
+}
+
+void
+InstanceTracker::OnStatedLoad(TimePoint aNow, const StatedLoad& aLoad)
+{
+  loadStatement_ = { .statedAt = aNow,
+                     .load = aLoad,
+                     .ownInFlight = inFlight_ > 0 ? inFlight_ - 1 : 0 };
 }
 
 bool
-InstanceTracker::IsDegraded(TimePoint aNow, Duration aTypicalLatency) const
+InstanceTracker::IsDegraded(TimePoint aNow,
+                            Duration aTypicalLatency,
+                            double aTypicalFailureShare) const
 {
   if (answerCount_ < kMinAnswers || aNow >= nextTrialTime_)
     return false;
-  return failureShare_ > kDegradedFailureShare ||
+  return failureShare_ >
+           std::min(kDegradedFailureShare + aTypicalFailureShare, kMaxUsualFailureShare) ||
          ToSeconds(meanLatency_) > kDegradedLatencyFactor * ToSeconds(aTypicalLatency);
 }
 
@@ -222,7 +250,11 @@
   lastResponseTime_ = aNow;
   failureShare_ += kMeanWeight * (1 - failureShare_);
   answerCount_ = std::min(answerCount_ + 1, kMinAnswers);
-  if (aShed)
+  // An instance may shed at random while it has free slots.
+  const bool hasFreeSlots = loadStatement_ &&
+                            aNow - loadStatement_->statedAt <= kStatedLoadLifetime &&
+                            loadStatement_->load.running < loadStatement_->load.slots;
+  if (aShed && !hasFreeSlots)
     shedUntil_ = aNow + kFullAfterShed;
 }
 
