--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -280,10 +280,15 @@
     std::list<Ticket> queue;   ///< In order of arrival.
     Duration typicalLatency{}; ///< Moving mean of answers of all instances.
     Duration longestGoal{};    ///< Of its routes that had requests.
+    /// Moving mean over answers of all instances.
+    double typicalFailureShare = 0;
     ObjectCounter objects;
     SpillControl spill;
     ReturnSchedule returns;
     bool hadRequests = false; ///< The service has had at least one request.
+
+    /// Adds the end of an attempt to typicalFailureShare when it says something about the service.
+    void CountFailure(const AttemptEndReport& aReport);
   };
   /// Counts the request towards the quota of its workspace. Returns false after refusing it, when
   /// the quota is used up; aRequest is gone then.
