Reject requests and answers whose end is uncertain

Beast takes a request with a transfer coding other than chunked for one without a body, so that its body was read as the next request on the connection and run. It also joins folded lines, accepts any byte in a quoted chunk extension and adds trailers to the fields of the header.

FramedParser checks the framing of each message by RFC 9112, section 6, before anything of it is used: 501 for a coding that is not understood, else 400, and the connection closes. Answers that cannot be framed count as broken.

--- a/include/dragonflymoor/Gateway/InstanceClient.h
+++ b/include/dragonflymoor/Gateway/InstanceClient.h
@@ -3,12 +3,12 @@
 
 #include "dragonflymoor/Gateway/Protocol.h"
 #include "dragonflymoor/Metrics/Metrics.h"
+#include "dragonflymoor/Net/Framing.h"
 #include "dragonflymoor/Steering/Dispatcher.h"
 #include "dragonflymoor/Support/ByteBudget.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <map>
@@ -113,12 +113,14 @@
   /// Shared, as a write may outlast its exchange.
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  using AnswerParser = http::response_parser<http::string_body>;
+  using AnswerParser = FramedAnswerParser<http::string_body>;
 
   ConnectionPtr TakeIdleConnection(const InstanceAttempt& aAttempt);
   asio::awaitable<ConnectionPtr> Connect(const Endpoint& aEndpoint,
                                          ExchangeControl& aControl,
                                          error_code& aError);
+  /// Counts an answer that could not be framed; does nothing for other errors.
+  void CountUnframed(const error_code& aError);
   /// Reads the rest of an answer whose header aParser has. Returns an error text, which is empty
   /// when the answer is complete.
   asio::awaitable<std::string> ReadBody(Connection& aConnection,
--- a/include/dragonflymoor/Metrics/Metrics.h
+++ b/include/dragonflymoor/Metrics/Metrics.h
@@ -22,6 +22,10 @@
   /// reason as label. Characters that a metric name can't have become underscores.
   void Count(std::string_view aName, Reason aReason = Reason::None, double aAmount = 1);
 
+  /// As Count, with a kind of the caller's own as the value of the label reason. aKind must be one
+  /// of a small fixed set.
+  void CountKind(std::string_view aName, std::string_view aKind);
+
   /// Sets the gauge dragonflymoor_<name>.
   void SetGauge(std::string_view aName,
                 double aValue,
--- a/lib/Gateway/CallerConnections.cpp
+++ b/lib/Gateway/CallerConnections.cpp
@@ -1,8 +1,9 @@
 #include "CallerState.h"
+#include "dragonflymoor/Net/Framing.h"
 #include "dragonflymoor/Support/Log.h"
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
@@ -24,6 +25,8 @@
 http::status
 StatusForReadError(const error_code& aError)
 {
+  if (const auto status = FramingStatus(aError))
+    return *status;
   if (aError == http::error::header_limit)
     return http::status::request_header_fields_too_large;
   if (aError == http::error::body_limit)
@@ -35,6 +38,8 @@
 bool
 IsProtocolError(const error_code& aError)
 {
+  if (FramingStatus(aError))
+    return true;
   return aError.category() == make_error_code(http::error::bad_method).category() &&
          aError != http::error::end_of_stream && aError != http::error::partial_message;
 }
@@ -96,7 +101,10 @@
   connection.EnterPhase(Connection::Phase::Header);
   const CallerLimits limits =
     view_->routes == nullptr ? kDefaultLimits : view_->routes->GetManifest().limits;
-  http::request_parser<http::string_body> parser;
+  // Bytes of the next request may be there from the time of a higher limit.
+  connection.buffer.max_size(
+    std::max(connection.buffer.size(), MaxUnparsedBytes(limits.headerBytes)));
+  FramedRequestParser<http::string_body> parser;
   parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
   parser.body_limit(limits.bodyBytes);
   auto [headError, headBytes] =
@@ -116,6 +124,8 @@
   if (error) {
     if (IsProtocolError(error)) {
       metrics_.Count("bad-requests", Reason::BadRequest);
+      if (const std::string_view fault = FramingFault(error); !fault.empty())
+        metrics_.CountKind("unframed-requests", fault);
       Log(LogLevel::Warning, kComponent, "bad request", { { "error", error.message() } });
       http::response<http::string_body> answer(StatusForReadError(error), 11);
       answer.keep_alive(false);
--- a/lib/Gateway/InstanceClient.cpp
+++ b/lib/Gateway/InstanceClient.cpp
@@ -2,7 +2,6 @@
 
 #include "dragonflymoor/Net/Clock.h"
 #include <algorithm>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -38,9 +37,6 @@
 /// A connection is closed after this many answers to other requests.
 constexpr int kMaxForeignAnswers = 3;
 
-/// A connection is closed after this many interim answers (1xx) to one request.
-constexpr int kMaxInterimAnswers = 16;
-
 /// Limit of the bodies of all answers that are read or not yet delivered. A string that grows may
 /// occupy three times its size for a moment, and the smallest VMs have 160 MB.
 constexpr size_t kMaxAnswerBytes = 32UL * 1024 * 1024;
@@ -48,7 +44,7 @@
 
 /// Limit of received bytes that are not parsed yet. Without it a line of a chunked body that never
 /// ends would be buffered whole.
-constexpr size_t kMaxReadBufferBytes = 2 * kMaxAnswerHeaderBytes;
+constexpr size_t kMaxReadBufferBytes = MaxUnparsedBytes(kMaxAnswerHeaderBytes);
 
 /// The time-out N, in seconds, of a "Keep-Alive: timeout=N" header.
 std::optional<Duration>
@@ -160,6 +156,13 @@
   co_return connection;
 }
 
+void
+InstanceClient::CountUnframed(const error_code& aError)
+{
+  if (const std::string_view fault = FramingFault(aError); !fault.empty())
+    metrics_.CountKind("unframed-answers", fault);
+}
+
 asio::awaitable<std::string>
 InstanceClient::ReadBody(Connection& aConnection,
                          AnswerParser& aParser,
@@ -169,8 +172,10 @@
   while (fits && !aParser.is_done()) {
     auto [error, bytes] =
       co_await http::async_read_some(aConnection.socket, aConnection.buffer, aParser, kAwaitTuple);
-    if (error)
+    if (error) {
+      CountUnframed(error);
       co_return error.message();
+    }
     fits = aReservation.GrowTo(aParser.get().body().size());
   }
   if (fits)
@@ -207,6 +212,7 @@
     auto [headError, headBytes] = co_await http::async_read_header(
       aConnection->socket, aConnection->buffer, parser, kAwaitTuple);
     if (headError) {
+      CountUnframed(headError);
       aResult.error = headError.message();
       const bool nothingRead =
         headBytes == 0 && aConnection->buffer.size() == 0 && foreignAnswers == 0;
--- a/lib/Metrics/Metrics.cpp
+++ b/lib/Metrics/Metrics.cpp
@@ -73,6 +73,16 @@
   impl_->CounterFor(aName, aReason).Increment(aAmount);
 }
 
+void
+Metrics::CountKind(std::string_view aName, std::string_view aKind)
+{
+  prometheus::BuildCounter()
+    .Name(MetricName(aName, "_total"))
+    .Register(impl_->registry)
+    .Add({ { "reason", std::string(aKind) } })
+    .Increment();
+}
+
 void
 Metrics::SetGauge(std::string_view aName,
                   double aValue,
