Start waiting requests of equal rank by their workspaces' use

Cause: a workspace that sends many requests filled the queue of a VM before the others, up to its quota.

Without workspaces the order is as before.

--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "dragonflymoor/Recovery/CrashRegistry.h"
 #include "dragonflymoor/Recovery/RetryBudget.h"
+#include "dragonflymoor/Steering/FairShares.h"
 #include "dragonflymoor/Steering/FleetView.h"
 #include "dragonflymoor/Steering/InstanceStatement.h"
 #include "dragonflymoor/Steering/InstanceTracker.h"
@@ -388,6 +389,7 @@
   std::unordered_map<Ticket, Request> requests_;
   SplitChooser splits_;
   QuotaShares quotas_;
+  FairShares fairShares_;
   ShiftLimit shifts_;
   RetryBudget retries_;
   CrashRegistry crashes_;
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -204,6 +204,8 @@
     .waited = aNow - aRequest.spec.arrived,
   };
   state.returns.OnStart(aNow);
+  if (aRequest.spec.workspace != nullptr)
+    fairShares_.OnStart(aNow, *aRequest.spec.workspace);
   instance->OnSend(aNow);
   UpdateIndexes(aNow, *instance);
   shifts_.OnStart(aNow, spec.region);
--- a/lib/Steering/RequestQueue.cpp
+++ b/lib/Steering/RequestQueue.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace dfm {
 
@@ -130,8 +131,26 @@
   std::vector<Ticket> order(aState.queue.begin(), aState.queue.end());
   if (ServesNewestFirst(aNow, aState))
     std::reverse(order.begin(), order.end());
-  std::stable_sort(order.begin(), order.end(), [this](Ticket aLeft, Ticket aRight) {
-    return requests_.at(aLeft).Priority() < requests_.at(aRight).Priority();
+  struct Position
+  {
+    unsigned priority = 0;
+    double use = 0;
+    Ticket ticket = 0;
+  };
+  std::vector<Position> positions;
+  positions.reserve(order.size());
+  for (const Ticket ticket : order) {
+    const Request& request = requests_.at(ticket);
+    positions.push_back({ .priority = request.Priority(),
+                          .use = fairShares_.UseOf(aNow, request.spec.workspace),
+                          .ticket = ticket });
+  }
+  std::stable_sort(
+    positions.begin(), positions.end(), [](const Position& aLeft, const Position& aRight) {
+      return std::tie(aLeft.priority, aLeft.use) < std::tie(aRight.priority, aRight.use);
+    });
+  std::transform(positions.begin(), positions.end(), order.begin(), [](const Position& aPosition) {
+    return aPosition.ticket;
   });
   return order;
 }
--- a/unittests/Steering/DispatcherFixture.h
+++ b/unittests/Steering/DispatcherFixture.h
@@ -34,6 +34,7 @@
     std::vector<RegionId> homes;
     unsigned priority = 0;
     Duration timeLeft = 1s; ///< Until the caller's deadline.
+    const Workspace* workspace = nullptr;
   };
 
   explicit DispatcherFixture(double aRetrySlack = 100, size_t aVmsInRegion = 1, size_t aSelf = 0)
@@ -120,6 +121,7 @@
                       ticket,
                       { .routes = routes,
                         .route = &routes->GetManifest().routes.front(),
+                        .workspace = aOptions.workspace,
                         .affinity = aKey,
                         .arrived = now,
                         .deadline = now + aOptions.timeLeft,
