--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -107,10 +107,11 @@
   // For the log: what the decision rested on.
   Duration waited{};
   ServiceId service;
-  unsigned instances = 0;     ///< Usable instances of the service.
-  unsigned slots = 0;         ///< Of the usable instances.
-  unsigned knownInFlight = 0; ///< Known requests of all VMs at the usable instances.
-  size_t waiting = 0;         ///< Requests for the service that wait at this VM.
+  unsigned instances = 0;             ///< Usable instances of the service.
+  unsigned slots = 0;                 ///< Of the usable instances.
+  unsigned knownInFlight = 0;         ///< Known requests of all VMs at the usable instances.
+  size_t waiting = 0;                 ///< Requests for the service that wait at this VM.
+  std::optional<QuotaDecision> quota; ///< Set when the reason is Quota.
 };
 
 /// What follows an attempt.
--- a/include/dragonflymoor/Steering/QuotaShares.h
+++ b/include/dragonflymoor/Steering/QuotaShares.h
@@ -41,6 +41,11 @@
 {
   bool admitted = true;
   Duration retryAfter{}; ///< Time after which a refused caller finds room again.
+  // For the log: what the decision rested on. Only set in a refusal.
+  double part = 1;     ///< Of the requests that each VM admits.
+  double demand = 0;   ///< Requests a second of the callers of all VMs.
+  size_t heardVms = 0; ///< VMs whose demand is known, this one included.
+  size_t knownVms = 0; ///< Also those whose demand is presumed.
 
   auto operator<=>(const QuotaDecision&) const = default;
 };
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -288,6 +288,22 @@
 CallerFront::LogRefusal(const Request& aRequest) const
 {
   const RequestRefusal& refusal = *aRequest.refusal;
+  metrics_.Count(fmt::format("refusals-{}", dfm::ToString(refusal.reason)));
+  if (refusal.quota) {
+    Log(LogLevel::Info,
+        kComponent,
+        "quota used up",
+        { { "request", aRequest.head.requestId },
+          { "route", aRequest.route->name },
+          { "workspace", WorkspaceName(aRequest.workspace) },
+          { "per_s", fmt::format("{}", aRequest.workspace->requestsPerSecond) },
+          { "demand_per_s", fmt::format("{:.1f}", refusal.quota->demand) },
+          { "admitted_part", fmt::format("{:.2f}", refusal.quota->part) },
+          { "vms_heard", std::to_string(refusal.quota->heardVms) },
+          { "vms_known", std::to_string(refusal.quota->knownVms) },
+          { "retry_after_ms", fmt::format("{:.1f}", ToMilliseconds(refusal.retryAfter)) } });
+    return;
+  }
   Log(LogLevel::Info,
       kComponent,
       "refused",
--- a/lib/Steering/QuotaControl.cpp
+++ b/lib/Steering/QuotaControl.cpp
@@ -40,7 +40,8 @@
   }
   const RequestRefusal refusal{ .reason = RefusalReason::Quota,
                                 .retryAfter = decision.retryAfter,
-                                .service = aRequest.service };
+                                .service = aRequest.service,
+                                .quota = decision };
   requests_.erase(aTicket);
   hooks_.refuseRequest(aTicket, refusal);
   return false;
--- a/lib/Steering/QuotaShares.cpp
+++ b/lib/Steering/QuotaShares.cpp
@@ -201,7 +201,11 @@
   }
   const double seconds = -std::min(state.balance, 0.0) / state.quota.requestsPerSecond;
   return { .admitted = false,
-           .retryAfter = std::clamp(FromSeconds(seconds), kMinRetryAfter, kMaxRetryAfter) };
+           .retryAfter = std::clamp(FromSeconds(seconds), kMinRetryAfter, kMaxRetryAfter),
+           .part = part,
+           .demand = TotalDemand(aNow, state),
+           .heardVms = 1 + heardVms_,
+           .knownVms = vms_ };
 }
 
 void
