Check the framing on every port and in every client

The page servers, the store client, and the product's own servers and clients read messages with Beast's parser alone, most of them into buffers without a bound, and took interim answers of the store for its answers.

--- a/include/dragonflymoor/Gateway/PageServer.h
+++ b/include/dragonflymoor/Gateway/PageServer.h
@@ -23,8 +23,10 @@
 public:
   /// Creates the response to a request for aTarget, the request target with its query.
   using Handler = std::function<Page(std::string_view aTarget)>;
+  /// Called with the kind of fault (FramingFault) of each request that cannot be framed.
+  using UnframedHook = std::function<void(std::string_view aFault)>;
 
-  PageServer(asio::io_context& aContext, Handler aHandler);
+  PageServer(asio::io_context& aContext, Handler aHandler, UnframedHook aOnUnframed);
 
   /// Binds the port. Connections are accepted only after Start().
   error_code Listen(const Endpoint& aEndpoint);
@@ -38,6 +40,7 @@
 
   asio::io_context& context_;
   Handler handler_;
+  UnframedHook onUnframed_;
   tcp::acceptor acceptor_;
 };
 
--- a/include/dragonflymoor/Net/CallerServer.h
+++ b/include/dragonflymoor/Net/CallerServer.h
@@ -4,11 +4,11 @@
 #include "dragonflymoor/Engine/Engine.h"
 #include "dragonflymoor/Net/CallerExchange.h"
 #include "dragonflymoor/Net/CallerRequest.h"
+#include "dragonflymoor/Net/Framing.h"
 #include "dragonflymoor/Settings/Settings.h"
 #include <atomic>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -67,7 +67,7 @@
   void SetRoutes(std::shared_ptr<const RouteAnswers> aRoutes) { routes_ = std::move(aRoutes); }
 
 private:
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = FramedRequestParser<http::string_body>;
 
   /// One connection.
   struct Connection
--- a/include/dragonflymoor/Net/HttpPool.h
+++ b/include/dragonflymoor/Net/HttpPool.h
@@ -3,6 +3,7 @@
 
 #include "dragonflymoor/Net/Asio.h"
 #include "dragonflymoor/Net/Content.h"
+#include "dragonflymoor/Net/Framing.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
@@ -20,7 +21,7 @@
 {
   explicit HttpConnection(asio::io_context& aContext)
     : stream(aContext)
-    , buffer(kMaxAnswerBytes + kMaxAnswerHeaderBytes)
+    , buffer(MaxUnparsedBytes(kMaxAnswerHeaderBytes))
   {
   }
 
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -78,6 +78,10 @@
   Page MakeDirectoryPage(std::string_view aTarget);
   Page MakeReadinessPage(std::string_view aTarget) const;
   Page MakeOperatorPage(std::string_view aTarget) const;
+  PageServer::UnframedHook MakeUnframedHook()
+  {
+    return [this](std::string_view aFault) { metrics.CountKind("unframed-pages", aFault); };
+  }
   bool IsReady() const { return fleetView->routes != nullptr && !stopBeginTime; }
   asio::awaitable<void> AcceptCallers();
   asio::awaitable<void> CheckInstanceHealth(Instance aInstance, std::string aHealthPath);
@@ -156,13 +160,16 @@
   , callerAcceptor(trafficContext)
   , readinessServer(std::make_shared<PageServer>(
       trafficContext,
-      [this](std::string_view aTarget) { return MakeReadinessPage(aTarget); }))
+      [this](std::string_view aTarget) { return MakeReadinessPage(aTarget); },
+      MakeUnframedHook()))
   , directoryServer(std::make_shared<PageServer>(
       trafficContext,
-      [this](std::string_view aTarget) { return MakeDirectoryPage(aTarget); }))
+      [this](std::string_view aTarget) { return MakeDirectoryPage(aTarget); },
+      MakeUnframedHook()))
   , operatorServer(std::make_shared<PageServer>(
       trafficContext,
-      [this](std::string_view aTarget) { return MakeOperatorPage(aTarget); }))
+      [this](std::string_view aTarget) { return MakeOperatorPage(aTarget); },
+      MakeUnframedHook()))
   , signals(trafficContext, SIGTERM, SIGINT, SIGHUP)
 {
 }
--- a/lib/Gateway/PageServer.cpp
+++ b/lib/Gateway/PageServer.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Gateway/PageServer.h"
 
+#include "dragonflymoor/Net/Framing.h"
 #include "dragonflymoor/Net/Listen.h"
 #include "dragonflymoor/Support/Log.h"
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +24,9 @@
 /// retry would meet again.
 constexpr auto kAcceptPause = std::chrono::milliseconds(100);
 
+/// Limit of the header of a request.
+constexpr uint32_t kMaxHeaderBytes = 8192;
+
 } // namespace
 
 Page
@@ -34,9 +38,10 @@
   return page;
 }
 
-PageServer::PageServer(asio::io_context& aContext, Handler aHandler)
+PageServer::PageServer(asio::io_context& aContext, Handler aHandler, UnframedHook aOnUnframed)
   : context_(aContext)
   , handler_(std::move(aHandler))
+  , onUnframed_(std::move(aOnUnframed))
   , acceptor_(aContext)
 {
 }
@@ -82,13 +87,23 @@
 {
   SetLiveness(aSocket);
   beast::tcp_stream stream(std::move(aSocket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(MaxUnparsedBytes(kMaxHeaderBytes));
   for (;;) {
-    http::request<http::empty_body> request;
+    FramedRequestParser<http::empty_body> parser;
+    parser.header_limit(kMaxHeaderBytes);
     stream.expires_after(kIdleTimeout);
-    auto [readError, readBytes] = co_await http::async_read(stream, buffer, request, kAwaitTuple);
+    auto [readError, readBytes] = co_await http::async_read(stream, buffer, parser, kAwaitTuple);
+    if (const std::string_view fault = FramingFault(readError); !fault.empty())
+      aSelf->onUnframed_(fault);
+    if (const auto status = FramingStatus(readError)) {
+      Page page = MakePage(*status, "text/plain", readError.message() + "\n");
+      page.keep_alive(false);
+      page.prepare_payload();
+      co_await http::async_write(stream, page, kAwaitTuple);
+    }
     if (readError)
       co_return;
+    const auto& request = parser.get();
     const auto target = request.target();
     Page page = aSelf->handler_({ target.data(), target.size() });
     page.keep_alive(request.keep_alive());
--- a/lib/Net/CallerServer.cpp
+++ b/lib/Net/CallerServer.cpp
@@ -216,7 +216,11 @@
   http::status status = http::status::bad_request;
   Outcome outcome = Outcome::Unknown; // Headers that could not be read may name an order.
   std::string text = fmt::format("malformed request: {}", aError.message());
-  if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
+  if (!FramingFault(aError).empty())
+    hooks_.count("unframed-requests", Reason::BadRequest);
+  if (const auto framingStatus = FramingStatus(aError)) {
+    status = *framingStatus;
+  } else if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
     status = http::status::request_header_fields_too_large;
     text = fmt::format("headers are longer than {} bytes", shared_->bounds.headerBytes);
   } else if (aError == http::error::body_limit) {
--- a/lib/Net/Content.cpp
+++ b/lib/Net/Content.cpp
@@ -1,7 +1,7 @@
 #include "dragonflymoor/Net/Content.h"
 
+#include "dragonflymoor/Net/Framing.h"
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <fmt/format.h>
 
@@ -114,13 +114,13 @@
 Decoded<HttpRequest>
 DecodeRequestContent(std::string_view aBytes)
 {
-  return Parse<http::request_parser<http::string_body>>(aBytes, "request content");
+  return Parse<FramedRequestParser<http::string_body>>(aBytes, "request content");
 }
 
 Decoded<HttpAnswer>
 DecodeAnswerContent(std::string_view aBytes)
 {
-  return Parse<http::response_parser<http::string_body>>(aBytes, "answer content");
+  return Parse<FramedAnswerParser<http::string_body>>(aBytes, "answer content");
 }
 
 } // namespace dfm
--- a/lib/Net/HttpPool.cpp
+++ b/lib/Net/HttpPool.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Net/HttpPool.h"
 
+#include "dragonflymoor/Net/Framing.h"
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -12,7 +13,7 @@
 constexpr auto kMaxIdle = std::chrono::seconds(2);
 constexpr size_t kMaxIdleConnections = 16;
 
-using Parser = http::response_parser<http::string_body>;
+using Parser = FramedAnswerParser<http::string_body>;
 
 /// True when the end of the answer can be told from a broken connection.
 bool
@@ -25,7 +26,7 @@
 asio::awaitable<error_code>
 ReadAnswer(HttpConnection& aConnection, std::unique_ptr<Parser>& aParser, bool aSkipBody)
 {
-  for (;;) {
+  for (int interimAnswers = 0; interimAnswers <= kMaxInterimAnswers; ++interimAnswers) {
     aParser = std::make_unique<Parser>();
     aParser->header_limit(kMaxAnswerHeaderBytes);
     aParser->body_limit(kMaxAnswerBytes);
@@ -44,6 +45,7 @@
       co_await http::async_read(aConnection.stream, aConnection.buffer, *aParser, kAwaitTuple);
     co_return error;
   }
+  co_return http::error::header_limit;
 }
 
 } // namespace
--- a/lib/Net/OperatorServer.cpp
+++ b/lib/Net/OperatorServer.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Net/OperatorServer.h"
 
+#include "dragonflymoor/Net/Framing.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -18,6 +19,8 @@
 namespace json = boost::json;
 
 constexpr auto kIdleTimeout = std::chrono::seconds(60);
+/// Limit of the header of a request.
+constexpr uint32_t kMaxHeaderBytes = 8192;
 /// A control thread that does not answer in this time is reported as such.
 constexpr auto kStatusTimeout = std::chrono::seconds(2);
 
@@ -173,13 +176,21 @@
 OperatorServer::Run(tcp::socket aSocket)
 {
   beast::tcp_stream stream(std::move(aSocket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(MaxUnparsedBytes(kMaxHeaderBytes));
   for (;;) {
-    http::request<http::empty_body> request;
+    FramedRequestParser<http::empty_body> parser;
+    parser.header_limit(kMaxHeaderBytes);
     stream.expires_after(kIdleTimeout);
-    auto [readError, received] = co_await http::async_read(stream, buffer, request, kAwaitTuple);
+    auto [readError, received] = co_await http::async_read(stream, buffer, parser, kAwaitTuple);
+    if (const auto status = FramingStatus(readError)) {
+      HttpAnswer rejection = Page(*status, "text/plain", readError.message() + "\n");
+      rejection.keep_alive(false);
+      rejection.prepare_payload();
+      co_await http::async_write(stream, rejection, kAwaitTuple);
+    }
     if (readError)
       co_return;
+    const auto& request = parser.get();
     HttpAnswer answer = co_await AnswerTo(stream.get_executor(), std::string(request.target()));
     answer.keep_alive(request.keep_alive());
     answer.prepare_payload();
