--- a/unittests/Platform/StatementsTest.cpp
+++ b/unittests/Platform/StatementsTest.cpp
@@ -1,4 +1,5 @@
 #include "GatewayFixture.h"
+#include "platform/Requests.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
@@ -250,4 +251,47 @@
   cr_assert(many);
 }
 
+/// Guards against a malformed load that is believed in part.
+Test(Statements, ReadsStatedLoads)
+{
+  struct Case
+  {
+    std::vector<std::string> values;
+    std::optional<StatedLoad> load;
+  };
+  const StatedLoad plain{ .running = 3, .waiting = 1, .slots = 6 };
+  StatedLoad slow = plain;
+  slow.slowness = 2.5;
+  const std::vector<Case> kCases{
+    { {}, {} },
+    { { "3,1,6" }, plain },
+    { { " 3, 1 ,6" }, plain },
+    { { "3,1,6,250" }, slow },
+    { { "" }, {} },
+    { { "3,1" }, {} },
+    { { "3,1,6," }, {} },
+    { { "3,1,6,250,1" }, {} },
+    { { "3,1,0" }, {} },
+    { { "3,-1,6" }, {} },
+    { { "+3,1,6" }, {} },
+    { { "3.5,1,6" }, {} },
+    { { "3,1,70000" }, {} },
+    { { "3,1,99999999999" }, {} },
+    { { "3,1,6,0" }, {} },
+    { { "3,1,6,nan" }, {} },
+    { { "3,1,6,1e9" }, {} },
+    { { "3,1,6", "3,1,6" }, {} },
+  };
+  for (const Case& testCase : kCases) {
+    http::fields fields;
+    for (const std::string& value : testCase.values)
+      fields.insert("X-Server-Load", value);
+    const InstanceStatement statement =
+      platform::MakeProtocol().readAnswerHeaders(200, fields).statement;
+    cr_assert(statement.load == testCase.load);
+    cr_assert(statement.malformedLoad == (!testCase.values.empty() && !testCase.load));
+    cr_assert(not statement.malformed);
+  }
+}
+
 } // namespace
