Limit slow instances with the setting adaptiveLimits

With the setting, which is off by default, the free and servable slots of an instance are those of its ConcurrencyLimit. A request counts as warm when this VM sent the same object there within 3 s; its kind is its route and whether it names an object. The service's moving mean of slowness keeps the limits open when all instances become slower. The gauges instances_limited and slots_withheld show the effect, and the lines of attempts have the limit.

--- a/include/dragonflymoor/Settings/SteeringSettings.h
+++ b/include/dragonflymoor/Settings/SteeringSettings.h
@@ -30,6 +30,7 @@
   double retrySlack = 0;   ///< Repeats of all VMs together in each window besides.
   double maxShift = 0.15;  ///< Part of a region's requests that may change region within 2 s.
   Duration instanceReportPeriod = 1500ms; ///< At which instances renew their entries in the store.
+  bool adaptiveLimits = false; ///< Slow instances get fewer requests than they have slots.
   LogLevel logLevel = LogLevel::Info;
 
   bool operator==(const SteeringSettings&) const = default;
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -57,6 +57,7 @@
   unsigned ownInFlight = 0;
   unsigned knownInFlight = 0; ///< Known requests of all VMs at the instance.
   unsigned slots = 0;
+  unsigned limit = 0;   ///< Requests that the instance handles well at present.
   bool spilled = false; ///< In another region than this VM's.
   Duration waited{};
 };
@@ -133,6 +134,17 @@
   /// the next.
   double maxShift = 0.15;
   SpillOptions spill;
+  /// Whether fewer requests than an instance has slots are sent to it while it is slow.
+  bool adaptiveLimits = false;
+};
+
+/// How much the limits of slow instances take away.
+struct LimitFigures
+{
+  unsigned instances = 0; ///< With a limit below their slots.
+  unsigned slots = 0;     ///< That the limits leave empty.
+
+  auto operator<=>(const LimitFigures&) const = default;
 };
 
 /// The planned stop of this VM, whose process ends at `end` whatever is still in flight.
@@ -195,6 +207,8 @@
   std::vector<InstanceLoad> OwnLoad(TimePoint aNow) const;
   /// Requests of all VMs of the own failure domain at each instance, by their latest reports.
   std::vector<InstanceLoad> DomainLoad(TimePoint aNow) const;
+  /// Effect of the limits at aNow; all zero without adaptive limits. Takes time for each instance.
+  LimitFigures ReadLimits(TimePoint aNow) const;
   size_t WaitingCount() const;
   size_t InFlightCount() const;
   /// Delay after which a caller may come back that was refused although no service is overloaded.
@@ -252,6 +266,9 @@
     std::optional<BackendId> currentInstance; ///< The instance of the attempt in flight.
     /// An earlier attempt may have run the request.
     bool mayHaveRun = false;
+    // Of the latest attempt.
+    bool sentWarm = false;     ///< This VM sent the object there a moment before.
+    unsigned sentInFlight = 0; ///< Known requests at the instance, this one included.
     /// Cached while the request waits; cleared when the fleet or the tried instances change.
     std::map<RegionId, Ranking> rankings;
   };
@@ -275,6 +292,8 @@
     Duration longestGoal{};    ///< Of its routes that had requests.
     /// Moving mean over answers of all instances.
     double typicalFailureShare = 0;
+    /// Moving mean over answers of how many times longer they took than usual at their instance.
+    double typicalSlowness = 1;
     ObjectCounter objects;
     SpillControl spill;
     ReturnSchedule returns;
@@ -282,6 +301,12 @@
 
     /// Adds the end of an attempt to typicalFailureShare when it says something about the service.
     void CountFailure(const AttemptEndReport& aReport);
+    /// Compares the latency of an answer with the usual one of aInstance for such requests.
+    /// Failures count for nothing: they are often far shorter.
+    void LearnSlowness(TimePoint aNow,
+                       const Request& aRequest,
+                       InstanceTracker& aInstance,
+                       const AttemptEndReport& aReport);
   };
   ServiceState& ServiceStateFor(const ServiceId& aService);
   /// Brings the trackers and candidates in line with the instances of view_. Takes time for the
--- a/include/dragonflymoor/Steering/InstanceTracker.h
+++ b/include/dragonflymoor/Steering/InstanceTracker.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYMOOR_STEERING_INSTANCETRACKER_H
 
 #include "dragonflymoor/Shares/TokenBucket.h"
+#include "dragonflymoor/Steering/ConcurrencyLimit.h"
 #include "dragonflymoor/Steering/FleetView.h"
 #include "dragonflymoor/Steering/InstanceStatement.h"
 #include "dragonflymoor/Steering/RateClaim.h"
@@ -46,7 +47,8 @@
 class InstanceTracker
 {
 public:
-  explicit InstanceTracker(Instance aInstance);
+  /// With aAdaptiveLimits, a slow instance gets fewer requests than it has slots.
+  explicit InstanceTracker(Instance aInstance, bool aAdaptiveLimits = false);
 
   const Instance& Spec() const { return spec_; }
   bool IsCold(TimePoint aNow) const { return aNow < spec_.coldUntil; }
@@ -68,13 +70,15 @@
   /// The part of the instance's stated rate that this VM uses.
   RateClaim& Rate() { return rate_; }
   const RateClaim& Rate() const { return rate_; }
-  /// Requests that the instance can serve at once, at the rate that it takes.
+  /// Requests of all VMs that may be at the instance: its slots, or fewer while it is slow.
+  unsigned LimitAt(TimePoint aNow) const;
+  /// Requests that the instance can serve at once, at the rate that it takes and within its limit.
   unsigned ServableSlots(TimePoint aNow) const;
 
   /// Whether and why the instance must not get a request now, slots aside.
   Unusable UnusableReasonAt(TimePoint aNow) const;
-  /// Slots that no known request uses; negative when it is overfull. A load that the instance
-  /// stated a moment ago counts when it is above what the VMs report.
+  /// Slots within the limit that no known request uses; negative when it is overfull. A load that
+  /// the instance stated a moment ago counts when it is above what the VMs report.
   int FreeSlots(TimePoint aNow) const;
   /// Requests of all VMs that are known to be at the instance.
   unsigned KnownInFlight() const { return inFlight_ + peerInFlight_; }
@@ -90,6 +94,15 @@
   /// Takes one request of the cold rate when the instance is cold. Must be called right before a
   /// request is sent.
   void OnSend(TimePoint aNow);
+  /// The request that OnSend announced is for aObject. Returns whether this VM sent aObject there a
+  /// moment ago, so that it is probably warm. Always false without adaptive limits.
+  bool OnObjectSent(TimePoint aNow, uint64_t aObject);
+  /// A request was answered that can be compared with others of its kind. aUsualSlowness is that of
+  /// the service. Returns how many times longer than usual it took, or nothing without adaptive
+  /// limits.
+  std::optional<double> OnComparableAnswer(TimePoint aNow,
+                                           const ConcurrencyLimit::Answer& aAnswer,
+                                           double aUsualSlowness);
   /// A request ended, in any way.
   void OnEnd();
   void OnSuccess(TimePoint aNow, Duration aLatency);
@@ -148,8 +161,15 @@
     unsigned ownInFlight = 0; ///< Of this VM at that moment, without the answered request.
   };
   std::optional<LoadStatement> loadStatement_; ///< The latest one.
-  double failureShare_ = 0;                    ///< Moving mean over answers.
-  unsigned answerCount_ = 0;                   ///< Since the start of the run, bounded.
+  std::optional<ConcurrencyLimit> limit_;      ///< Empty without adaptive limits.
+  struct SentObject
+  {
+    uint64_t object = 0;
+    TimePoint sentAt;
+  };
+  std::vector<SentObject> sentObjects_; ///< Bounded; the latest last. Empty without limit_.
+  double failureShare_ = 0;             ///< Moving mean over answers.
+  unsigned answerCount_ = 0;            ///< Since the start of the run, bounded.
   Duration meanLatency_{};
   TimePoint lastResponseTime_;
   TimePoint shedUntil_;     ///< Counts as full until then.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -123,7 +123,8 @@
                                   .randomSeed = random.Next(),
                                   .retryRatio = settings.retryRatio,
                                   .retrySlack = settings.retrySlack,
-                                  .maxShift = settings.maxShift },
+                                  .maxShift = settings.maxShift,
+                                  .adaptiveLimits = settings.adaptiveLimits },
                MakeDispatcherHooks())
   , instanceClient(trafficContext,
                    options.platform.protocol,
@@ -353,6 +354,11 @@
       nextGaugeTime = now + kGaugePeriod;
       callerFront.OnTick(now);
       metrics.SetGauge("requests_waiting", static_cast<double>(dispatcher.WaitingCount()));
+      if (settings.adaptiveLimits) {
+        const LimitFigures limits = dispatcher.ReadLimits(now);
+        metrics.SetGauge("instances_limited", limits.instances);
+        metrics.SetGauge("slots_withheld", limits.slots);
+      }
       metrics.SetGauge("requests_in_flight", static_cast<double>(dispatcher.InFlightCount()));
     }
     if (now >= nextLogFlushTime) {
--- a/lib/Settings/Section.cpp
+++ b/lib/Settings/Section.cpp
@@ -109,6 +109,18 @@
   return aDefault;
 }
 
+bool
+Section::Flag(std::string_view aField, bool aDefault)
+{
+  const json::value* value = Find(aField);
+  if (value == nullptr)
+    return aDefault;
+  if (const bool* flag = value->if_bool())
+    return *flag;
+  Report(aField, "must be true or false");
+  return aDefault;
+}
+
 Endpoint
 Section::Address(std::string_view aField, const json::value* aValue, bool aListen)
 {
--- a/lib/Settings/Section.h
+++ b/lib/Settings/Section.h
@@ -31,6 +31,7 @@
   uint64_t Number(std::string_view aField, uint64_t aDefault, uint64_t aLow, uint64_t aHigh);
   /// A number that may have a fraction.
   double Real(std::string_view aField, double aDefault, double aLow, double aHigh);
+  bool Flag(std::string_view aField, bool aDefault);
   /// "address:port". Unless it is for listening, others must be able to reach it.
   Endpoint Address(std::string_view aField, const json::value* aValue, bool aListen);
   std::vector<Endpoint> Addresses(std::string_view aField);
--- a/lib/Settings/SteeringSettings.cpp
+++ b/lib/Settings/SteeringSettings.cpp
@@ -101,6 +101,7 @@
   settings.maxShift = root.Real("maxShift", settings.maxShift, 0, 1);
   settings.instanceReportPeriod =
     ReadSeconds(root, "instanceReportSeconds", ToSeconds(settings.instanceReportPeriod));
+  settings.adaptiveLimits = root.Flag("adaptiveLimits", settings.adaptiveLimits);
   root.Finish();
   if (!findings.empty())
     return tl::unexpected(std::move(findings));
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -203,11 +203,14 @@
     .ownInFlight = instance->OwnInFlight(),
     .knownInFlight = instance->KnownInFlight(),
     .slots = spec.slots,
+    .limit = instance->LimitAt(aNow),
     .spilled = spec.region != options_.region,
     .waited = aNow - aRequest.spec.arrived,
   };
   state.returns.OnStart(aNow);
   instance->OnSend(aNow);
+  aRequest.sentWarm = aRequest.sticky && instance->OnObjectSent(aNow, aRequest.key);
+  aRequest.sentInFlight = instance->KnownInFlight();
   UpdateIndexes(aNow, *instance);
   shifts_.OnStart(aNow, spec.region);
   ++aRequest.attempts;
@@ -265,6 +268,7 @@
         return;
       }
       aInstance.OnSuccess(aNow, aReport.latency);
+      state.LearnSlowness(aNow, aRequest, aInstance, aReport);
       // Requests without an object on a route where others have one are checks, and far shorter.
       if (aRequest.spec.route->sticky && !aRequest.sticky)
         return;
--- a/lib/Steering/FleetChanges.cpp
+++ b/lib/Steering/FleetChanges.cpp
@@ -22,7 +22,7 @@
 {
   std::unique_ptr<InstanceTracker>& tracker = trackers_[aInstance.id];
   if (tracker == nullptr) {
-    tracker = std::make_unique<InstanceTracker>(aInstance);
+    tracker = std::make_unique<InstanceTracker>(aInstance, options_.adaptiveLimits);
     tracker->SetPeerInFlight(peerLoads_.InFlightAt(tracker->LoadKey()));
     tracker->Rate().SetPeerClaims(peerLoads_.ClaimsAt(tracker->LoadKey()));
     trackersByLoadKey_[tracker->LoadKey()] = tracker.get();
--- a/lib/Steering/InstanceChoice.cpp
+++ b/lib/Steering/InstanceChoice.cpp
@@ -55,23 +55,8 @@
   return static_cast<double>(MixHash(aKey, 0)) / kRange;
 }
 
-/// Weight of the latest answer in a service's moving mean share of failures, which thus covers some
-/// dozens of answers.
-constexpr double kFailureWeight = 0.03;
-
 } // namespace
 
-void
-Dispatcher::ServiceState::CountFailure(const AttemptEndReport& aReport)
-{
-  using Kind = AttemptEndReport::Kind;
-  const bool answered = aReport.kind == Kind::Answered;
-  const bool failed = (answered && aReport.status >= 500) || aReport.kind == Kind::Broken ||
-                      (aReport.kind == Kind::NotExecuted && !aReport.wrongInstance);
-  if (answered || failed)
-    typicalFailureShare += kFailureWeight * ((failed ? 1.0 : 0.0) - typicalFailureShare);
-}
-
 double
 Dispatcher::ColdRateFor(const Instance& aInstance) const
 {
--- a/lib/Steering/InstanceTracker.cpp
+++ b/lib/Steering/InstanceTracker.cpp
@@ -48,6 +48,11 @@
 /// which these say the same.
 constexpr Duration kStatedLoadLifetime = 50ms;
 
+/// Objects that this VM sent to an instance within this time count as warm there, up to as many. An
+/// instance remembers 15 to 28 objects, those of other VMs' requests included.
+constexpr Duration kWarmTime = 3s;
+constexpr size_t kMaxSentObjects = 16;
+
 /// Wait before the first health check of an instance that is down, and the longest wait; each
 /// failed check doubles it. Checks are priced, so they slow down.
 constexpr Duration kFirstProbeWait = 100ms;
@@ -85,11 +90,13 @@
   return "unknown";
 }
 
-InstanceTracker::InstanceTracker(Instance aInstance)
+InstanceTracker::InstanceTracker(Instance aInstance, bool aAdaptiveLimits)
   : spec_(std::move(aInstance))
   , idHash_(HashBytes(spec_.id.Value()))
   , coldBucket_(kColdBucket)
 {
+  if (aAdaptiveLimits)
+    limit_.emplace(std::max(1U, spec_.slots));
 }
 
 void
@@ -101,7 +108,7 @@
     const unsigned peerInFlight = peerInFlight_;
     const bool evacuated = evacuated_;
     const double coldRate = coldRate_;
-    *this = InstanceTracker(std::move(aInstance));
+    *this = InstanceTracker(std::move(aInstance), limit_.has_value());
     inFlight_ = inFlight;
     peerInFlight_ = peerInFlight;
     evacuated_ = evacuated;
@@ -110,6 +117,8 @@
   }
   // A health check may know of a later end than the registration.
   aInstance.coldUntil = std::max(aInstance.coldUntil, spec_.coldUntil);
+  if (limit_ && aInstance.slots != spec_.slots)
+    limit_.emplace(std::max(1U, aInstance.slots));
   spec_ = std::move(aInstance);
 }
 
@@ -151,13 +160,20 @@
   return Unusable::None;
 }
 
+unsigned
+InstanceTracker::LimitAt(TimePoint aNow) const
+{
+  return limit_ ? std::min(spec_.slots, limit_->Limit(aNow)) : spec_.slots;
+}
+
 unsigned
 InstanceTracker::ServableSlots(TimePoint aNow) const
 {
+  const unsigned limit = LimitAt(aNow);
   if (!rate_.IsLimited(aNow) || meanLatency_ <= Duration{})
-    return spec_.slots;
+    return limit;
   const double atOnce = std::ceil(*rate_.Limit() * ToSeconds(meanLatency_));
-  return atOnce < spec_.slots ? static_cast<unsigned>(atOnce) : spec_.slots;
+  return atOnce < limit ? static_cast<unsigned>(atOnce) : limit;
 }
 
 int
@@ -165,7 +181,7 @@
 {
   if (aNow < shedUntil_)
     return 0;
-  return static_cast<int>(spec_.slots) - static_cast<int>(InFlightAt(aNow));
+  return static_cast<int>(LimitAt(aNow)) - static_cast<int>(InFlightAt(aNow));
 }
 
 unsigned
@@ -184,6 +200,36 @@
   loadStatement_ = { .statedAt = aNow,
                      .load = aLoad,
                      .ownInFlight = inFlight_ > 0 ? inFlight_ - 1 : 0 };
+  if (limit_)
+    limit_->OnStatedLoad(aNow, aLoad);
+}
+
+bool
+InstanceTracker::OnObjectSent(TimePoint aNow, uint64_t aObject)
+{
+  if (!limit_)
+    return false;
+  const auto found =
+    std::find_if(sentObjects_.begin(), sentObjects_.end(), [aObject](const SentObject& aSent) {
+      return aSent.object == aObject;
+    });
+  const bool warm = found != sentObjects_.end() && aNow - found->sentAt <= kWarmTime;
+  if (found != sentObjects_.end())
+    sentObjects_.erase(found);
+  else if (sentObjects_.size() == kMaxSentObjects)
+    sentObjects_.erase(sentObjects_.begin());
+  sentObjects_.push_back({ .object = aObject, .sentAt = aNow });
+  return warm;
+}
+
+std::optional<double>
+InstanceTracker::OnComparableAnswer(TimePoint aNow,
+                                    const ConcurrencyLimit::Answer& aAnswer,
+                                    double aUsualSlowness)
+{
+  if (!limit_)
+    return std::nullopt;
+  return limit_->OnAnswer(aNow, aAnswer, aUsualSlowness);
 }
 
 bool
--- a/unittests/Settings/SteeringSettingsTest.cpp
+++ b/unittests/Settings/SteeringSettingsTest.cpp
@@ -18,6 +18,7 @@
   "seeds": ["10.2.0.34:8544"],
   "store": "10.200.1.7:8541",
   "stopSeconds": 6, "directoryTtlSeconds": 1, "retryRatio": 0.2, "retrySlack": 58, "maxShift": 0.1, // a comment
+  "adaptiveLimits": true
 })";
 
 std::string
@@ -38,6 +39,7 @@
   cr_assert(settings->seeds.size() == 1 && settings->seeds[0].port == 7540);
   cr_assert(settings->failureDomains.at(FailureDomainId("south-a")) == RegionId("south"));
   cr_assert(settings->stopTime == 6s && settings->retrySlack == 58 && settings->maxShift == 0.1);
+  cr_assert(settings->adaptiveLimits);
 }
 
 /// Broken settings were accepted, or the finding did not name its place.
@@ -54,6 +56,7 @@
     { "10.1.0.34:8548", "nowhere", "f: callers" },
     { "\"last\": 7555", "\"last\": 7540", "f: vmPorts.last" },
     { "\"stopSeconds\": 6", "\"stopSeconds\": \"six\"", "f: stopSeconds" },
+    { "\"adaptiveLimits\": true", "\"adaptiveLimits\": 1", "f: adaptiveLimits" },
     { "\"retryRatio\": 0.2", "\"retryRatio\": 2", "f: retryRatio" },
     { "\"south\"", "7", "f: failureDomains" },
     { "\"seeds\": [", "\"unknown\": 1, \"seeds\": [", "f: unknown" },
--- a/unittests/Steering/DispatcherFixture.h
+++ b/unittests/Steering/DispatcherFixture.h
@@ -36,7 +36,10 @@
     Duration timeLeft = 1s; ///< Until the caller's deadline.
   };
 
-  explicit DispatcherFixture(double aRetrySlack = 100, size_t aVmsInRegion = 1, size_t aSelf = 0)
+  explicit DispatcherFixture(double aRetrySlack = 100,
+                             size_t aVmsInRegion = 1,
+                             size_t aSelf = 0,
+                             bool aAdaptiveLimits = false)
     : vms_(aVmsInRegion)
     , dispatcher(
         { .self = VmId("vm-" + std::to_string(aSelf)),
@@ -44,7 +47,8 @@
           .failureDomain = FailureDomainId("north-a"),
           .randomSeed = 20261204,
           .retryRatio = 0.2,
-          .retrySlack = aRetrySlack },
+          .retrySlack = aRetrySlack,
+          .adaptiveLimits = aAdaptiveLimits },
         { .startAttempt =
             [this](const InstanceAttempt& aAttempt) {
               started.push_back(aAttempt);
--- a/unittests/Steering/InstanceTrackerTest.cpp
+++ b/unittests/Steering/InstanceTrackerTest.cpp
@@ -130,10 +130,11 @@
       const Ticket ended = running.front().second;
       running.pop_front();
       const bool shed = random.Next() % 5 == 0;
-      fixture.dispatcher.OnInstanceStatement(
+      const bool isNew = fixture.dispatcher.OnInstanceStatement(
         fixture.now,
         { .instance = fixture.running.at(ended).instance, .startTimeMs = 1 },
-        { .load = StatedLoad{ .running = 1, .slots = 16 } });
+        { .load = StatedLoad{ .running = i % 3, .slots = 16 } });
+      cr_assert(not isNew, "a load that changes is logged with each answer");
       const Verdict verdict =
         fixture.End(ended, shed ? Kind::NotExecuted : Kind::Answered, shed ? 503 : 200);
       if (verdict != Verdict::Retry)
@@ -144,4 +145,49 @@
   }
 }
 
+/// Guards against limits that act although they are off, that outlast the run of the instance, or
+/// that take an object that was sent long ago for warm.
+Test(InstanceTracker, LimitsSlowInstancesWhenAsked)
+{
+  for (const bool adaptive : { false, true }) {
+    const Instance run{ .id = BackendId("i-1"), .startTimeMs = 1, .slots = 6 };
+    InstanceTracker tracker(run, adaptive);
+    cr_assert(tracker.FreeSlots(kStart) == 6);
+    tracker.OnStatedLoad(kStart, { .running = 0, .slots = 6, .slowness = 3 });
+    const unsigned limit = adaptive ? 2 : 6;
+    cr_assert(tracker.LimitAt(kStart) == limit && tracker.ServableSlots(kStart) == limit);
+    cr_assert(tracker.FreeSlots(kStart) == static_cast<int>(limit));
+    cr_assert(not tracker.OnObjectSent(kStart, 7));
+    const bool warm = tracker.OnObjectSent(kStart + 1s, 7);
+    cr_assert(warm == adaptive);
+    cr_assert(not tracker.OnObjectSent(kStart + 9s, 7));
+    Instance next = run;
+    next.startTimeMs = 2;
+    tracker.SetSpec(next);
+    cr_assert(tracker.LimitAt(kStart) == 6);
+    tracker.OnStatedLoad(kStart, { .running = 0, .slots = 6, .slowness = 3 });
+    cr_assert(tracker.LimitAt(kStart) == limit);
+  }
+}
+
+/// Guards against a setting that has no effect on the requests, or acts although it is off.
+Test(InstanceTracker, LimitsHoldForRequests)
+{
+  for (const bool adaptive : { false, true }) {
+    DispatcherFixture fixture(100, 1, 0, adaptive);
+    fixture.SetFleet({ { .id = "i-1", .slots = 6 } });
+    fixture.dispatcher.OnInstanceStatement(
+      fixture.now,
+      { .instance = BackendId("i-1"), .startTimeMs = 1 },
+      { .load = StatedLoad{ .running = 0, .slots = 6, .slowness = 3 } });
+    for (uint64_t key = 0; key < 8; ++key)
+      fixture.Submit({}, key);
+    const LimitFigures figures = fixture.dispatcher.ReadLimits(fixture.now);
+    const LimitFigures expected =
+      adaptive ? LimitFigures{ .instances = 1, .slots = 4 } : LimitFigures{};
+    cr_assert(fixture.running.size() == (adaptive ? 2U : 6U) && figures == expected);
+    cr_assert(fixture.started.back().limit == (adaptive ? 2U : 6U));
+  }
+}
+
 } // namespace
