Bound what many VMs do at a slow instance for all seeds

The bounds of ManyVmsAdaptTogether were those of one course of events, which rounding on another processor changes as much as another seed does.

--- a/unittests/Steering/ConcurrencyLimitTest.cpp
+++ b/unittests/Steering/ConcurrencyLimitTest.cpp
@@ -290,6 +290,8 @@
 /// Guards against VMs that send as much to a slow instance as to others, that come back to it all
 /// at once, or that do not come back. A VM among many hears too rarely from an instance to be sure
 /// that it is slow.
+/// The bounds hold for 30 other seeds too: rounding, which differs between processors, changes the
+/// course of events as much as a seed.
 Test(ConcurrencyLimit, ManyVmsAdaptTogether)
 {
   struct Case
@@ -297,7 +299,7 @@
     size_t vms;
     double highest; ///< Mean of the requests at the slow instance.
   };
-  for (const Case& testCase : { Case{ 1, 2 }, Case{ 9, 4.8 }, Case{ 74, kSlots } }) {
+  for (const Case& testCase : { Case{ 1, 2 }, Case{ 9, 5.2 }, Case{ 74, kSlots + 1 } }) {
     SharedInstances fleet(testCase.vms);
     const auto healthy = [](size_t, unsigned) { return 1.0; };
     fleet.Advance(60s, 0.6, healthy);
@@ -310,7 +312,7 @@
     cr_assert(slowed <= testCase.highest, "%zu VMs: %g", testCase.vms, slowed);
     fleet.Advance(4s, 0.6, healthy);
     const unsigned peak = fleet.peaks[0];
-    cr_assert(peak <= usualPeak, "%zu VMs: %u", testCase.vms, peak);
+    cr_assert(peak <= usualPeak + 2, "%zu VMs: %u", testCase.vms, peak);
     fleet.Advance(20s, 0.6, healthy);
     const double change = fleet.meanInFlight[0] / usual;
     cr_assert(change > 0.9 && change < 1.1, "%zu VMs: %g", testCase.vms, change);
