--- a/include/dragonflymoor/Settings/SteeringSettings.h
+++ b/include/dragonflymoor/Settings/SteeringSettings.h
@@ -31,6 +31,7 @@
   double maxShift = 0.15;  ///< Part of a region's requests that may change region within 2 s.
   double quotaSlack = 0;   ///< Requests by which a workspace may exceed its quota in a window.
   Duration instanceReportPeriod = 1500ms; ///< At which instances renew their entries in the store.
+  bool adaptiveLimits = false; ///< Slow instances get fewer requests than they have slots.
   LogLevel logLevel = LogLevel::Info;
 
   bool operator==(const SteeringSettings&) const = default;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -128,7 +128,11 @@
                                   .retryRatio = settings.retryRatio,
                                   .retrySlack = settings.retrySlack,
                                   .maxShift = settings.maxShift,
+<<<<<<< HEAD
                                   .quotaSlack = settings.quotaSlack },
+=======
+                                  .adaptiveLimits = settings.adaptiveLimits },
+>>>>>>> c9d25c506abf2525613831e7d05e641577cc92d4
                MakeDispatcherHooks())
   , instanceClient(trafficContext,
                    options.platform.protocol,
@@ -365,6 +369,11 @@
       nextGaugeTime = now + kGaugePeriod;
       callerFront.OnTick(now);
       metrics.SetGauge("requests_waiting", static_cast<double>(dispatcher.WaitingCount()));
+      if (settings.adaptiveLimits) {
+        const LimitFigures limits = dispatcher.ReadLimits(now);
+        metrics.SetGauge("instances_limited", limits.instances);
+        metrics.SetGauge("slots_withheld", limits.slots);
+      }
       metrics.SetGauge("requests_in_flight", static_cast<double>(dispatcher.InFlightCount()));
     }
     if (now >= nextLogFlushTime) {
--- a/lib/Settings/SteeringSettings.cpp
+++ b/lib/Settings/SteeringSettings.cpp
@@ -102,6 +102,7 @@
   settings.quotaSlack = root.Real("quotaSlack", settings.quotaSlack, 0, 1e6);
   settings.instanceReportPeriod =
     ReadSeconds(root, "instanceReportSeconds", ToSeconds(settings.instanceReportPeriod));
+  settings.adaptiveLimits = root.Flag("adaptiveLimits", settings.adaptiveLimits);
   root.Finish();
   if (!findings.empty())
     return tl::unexpected(std::move(findings));
--- a/lib/Steering/Dispatcher.cpp
+++ b/lib/Steering/Dispatcher.cpp
@@ -200,6 +200,7 @@
     .ownInFlight = instance->OwnInFlight(),
     .knownInFlight = instance->KnownInFlight(),
     .slots = spec.slots,
+    .limit = instance->LimitAt(aNow),
     .spilled = spec.region != options_.region,
     .waited = aNow - aRequest.spec.arrived,
   };
@@ -207,6 +208,8 @@
   if (aRequest.spec.workspace != nullptr)
     fairShares_.OnStart(aNow, *aRequest.spec.workspace);
   instance->OnSend(aNow);
+  aRequest.sentWarm = aRequest.sticky && instance->OnObjectSent(aNow, aRequest.key);
+  aRequest.sentInFlight = instance->KnownInFlight();
   UpdateIndexes(aNow, *instance);
   shifts_.OnStart(aNow, spec.region);
   ++aRequest.attempts;
@@ -255,6 +258,7 @@
         return;
       }
       aInstance.OnSuccess(aNow, aReport.latency);
+      state.LearnSlowness(aNow, aRequest, aInstance, aReport);
       // Requests without an object on a route where others have one are checks, and far shorter.
       if (aRequest.spec.route->sticky && !aRequest.sticky)
         return;
