Check a manifest of the platform before it comes into force

Cause: a fault of a manifest was seen only after VMs had put it into force, as a log line and the gauge manifest_problems. Faults that are consistent for the daemon, such as a hidden route or a key of two workspaces, were not reported at all.

Change: "dragonflymoorctl check" decodes the manifest and the settings with the code of the daemon.

--- a/tools/dragonflymoorctl/Commands.cpp
+++ b/tools/dragonflymoorctl/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 
+#include "Input.h"
 #include "Output.h"
 #include "dragonflymoor/Drains/Drains.h"
 #include "dragonflymoor/Model/Lists.h"
@@ -12,29 +13,10 @@
 #include <charconv>
 #include <fmt/format.h>
 #include <fstream>
-#include <iostream>
-#include <iterator>
 #include <thread>
 
 namespace dfm {
 
-const char* const kUsage =
-  "usage: dragonflymoorctl --store IP:PORT [--operators IP:PORT,...] COMMAND\n"
-  "  list                                  names, versions and sizes of all lists\n"
-  "  show LIST [ELEMENT]                   text of a list, or one element of it\n"
-  "  set plans PLAN workspace=W weight=N   add or change a plan\n"
-  "  set limits PLAN/SERVICE requestsPerSecond=R maxInFlight=N\n"
-  "  set plans|limits ELEMENT --remove     remove an element\n"
-  "  edit LIST --file FILE                 replace a list; FILE - is standard input\n"
-  "  drain add TARGET NAME [--starts-at T] [--wait]\n"
-  "  drain list\n"
-  "  drain cancel TARGET NAME\n"
-  "  drain watch [TARGET NAME]\n"
-  "  status                                members, regions, links and pools\n"
-  "LIST is plans, limits, drains, services, backends, links or roster.\n"
-  "TARGET is backend-server, vm or failure-domain.\n"
-  "--dry-run shows the difference and writes nothing. --output json gives JSON.\n";
-
 namespace {
 
 using Arguments = std::vector<std::string>;
@@ -293,17 +275,6 @@
   return ShowAndWrite(aOptions, *list, *base, *text);
 }
 
-std::optional<std::string>
-ReadInput(const std::string& aFile)
-{
-  if (aFile == "-")
-    return std::string(std::istreambuf_iterator<char>(std::cin), {});
-  std::ifstream in(aFile, std::ios::binary);
-  if (!in)
-    return std::nullopt;
-  return std::string(std::istreambuf_iterator<char>(in), {});
-}
-
 int
 Edit(const ToolOptions& aOptions, const Arguments& aArguments)
 {
@@ -538,6 +509,18 @@
   return status.size() == aOptions.operators.size() ? Success : Unavailable;
 }
 
+int
+Check(const ToolOptions& aOptions, const Arguments& aArguments)
+{
+  if (aArguments.size() > 2)
+    return UsageError("check needs at most one manifest");
+  CheckArguments check = aOptions.check;
+  if (aArguments.size() == 2)
+    check.manifest = aArguments[1];
+  check.json = check.json || aOptions.json;
+  return RunCheck(check);
+}
+
 } // namespace
 
 int
@@ -548,6 +531,8 @@
   const std::string& command = aArguments[0];
   if (command == "status")
     return ShowStatus(aOptions);
+  if (command == "check")
+    return Check(aOptions, aArguments);
   if (aOptions.store.port == 0)
     return UsageError("--store is missing");
   if (command == "list")
--- a/tools/dragonflymoorctl/Commands.h
+++ b/tools/dragonflymoorctl/Commands.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYMOOR_TOOLS_DRAGONFLYMOORCTL_COMMANDS_H
 #define DRAGONFLYMOOR_TOOLS_DRAGONFLYMOORCTL_COMMANDS_H
 
+#include "CheckCommand.h"
 #include "dragonflymoor/Model/Fleet.h"
 #include "dragonflymoor/Support/Time.h"
 #include <string>
@@ -8,7 +9,7 @@
 
 namespace dfm {
 
-/// Exit codes of the tool; documented in docs/operators.md.
+/// Exit codes of all commands but check; documented in docs/operators.md.
 enum ExitCode : int
 {
   Success = 0,
@@ -37,6 +38,7 @@
   std::string file;
   std::string startsAt;
   std::string conflictFile;
+  CheckArguments check;
 };
 
 /// Carries out one command; the result goes to standard output, progress and errors to standard
--- a/tools/dragonflymoorctl/main.cpp
+++ b/tools/dragonflymoorctl/main.cpp
@@ -16,6 +16,13 @@
 DEFINE_uint32(timeout_ms, 2000, "time for each exchange with the store or a daemon, in ms");
 DEFINE_uint32(wait_s, 1800, "longest wait of drain add --wait and drain watch, in s");
 DEFINE_uint32(poll_ms, 2000, "time between two looks at the daemons, in ms");
+DEFINE_string(settings, "", "check: file with the settings of a daemon");
+DEFINE_string(against, "", "check: file with the manifest in force, for the difference");
+DEFINE_string(need, "", "check: requests/s that services need, as service=rate,...");
+DEFINE_double(longest_wait_s, 0, "check: longest time for which callers wait, in s; 0 is unknown");
+DEFINE_uint32(memory_mb, 112, "check: memory of the smallest machine, in MiB");
+DEFINE_bool(json, false, "check: as --output json");
+DEFINE_bool(strict, false, "check: warnings count as well");
 
 namespace {
 
@@ -56,6 +63,13 @@
   options.file = FLAGS_file;
   options.startsAt = FLAGS_starts_at;
   options.conflictFile = FLAGS_conflict_file;
+  options.check = { .settings = FLAGS_settings,
+                    .against = FLAGS_against,
+                    .neededRates = FLAGS_need,
+                    .longestWaitSeconds = FLAGS_longest_wait_s,
+                    .memoryMegabytes = FLAGS_memory_mb,
+                    .json = FLAGS_json,
+                    .strict = FLAGS_strict };
   return dfm::RunCommand(options, aArguments);
 }
 
