--- a/lib/Check/ManifestDiff.cpp
+++ b/lib/Check/ManifestDiff.cpp
@@ -155,6 +155,17 @@
   return effects;
 }
 
+Effects
+NewWorkspaceEffects(const Workspace& aWorkspace)
+{
+  Effects effects{ fmt::format("keys added: {}", KeysOf(aWorkspace).size()),
+                   "quota: " + RateText(aWorkspace.requestsPerSecond),
+                   "served in: " + HomesText(aWorkspace.homeRegions) };
+  if (aWorkspace.invalid)
+    effects.emplace_back("callers get 503: the workspace is invalid");
+  return effects;
+}
+
 /// Compares the parts of two manifests by key. The hooks describe a part that is new or gone.
 template<typename T>
 void
@@ -295,9 +306,7 @@
     WorkspacesByName(aInForce),
     WorkspacesByName(aNew),
     WorkspaceEffects,
-    [](const Workspace& aWorkspace) {
-      return WorkspaceEffects(Workspace{ .id = aWorkspace.id }, aWorkspace);
-    },
+    NewWorkspaceEffects,
     [&aNew](const Workspace& aWorkspace) {
       const size_t keys = KeysOf(aWorkspace).size();
       return Effects{ aNew.workspaces.empty()
--- a/unittests/Platform/CheckReportTest.cpp
+++ b/unittests/Platform/CheckReportTest.cpp
@@ -209,6 +209,21 @@
   }
 }
 
+/// Guards against a syntax error that an operator has to search, also in a manifest without "spec".
+Test(CheckReport, LocatesSyntaxErrors)
+{
+  static const std::pair<const char*, const char*> kRows[] = {
+    { "", "line 1, column 1" },
+    { "{\"version\": \"1\",\n  \"routes\": [tru]}", "line 2, column 14" },
+    { "{\"spec\": {}}\n\n x", "line 3, column 2" },
+    { "{\"version\": \"1\"", "line 1, column 16" },
+  };
+  for (const auto& [text, position] : kRows) {
+    const std::string report = TextOf(CheckConfiguration(MakeInput(text)));
+    cr_expect(report.find(position) != std::string::npos, "%s", report.c_str());
+  }
+}
+
 /// Guards against a tool that passes what the daemon rejects or serves as invalid, and against an
 /// error that the daemon does not know.
 Test(CheckReport, ReportsAsErrorsWhatTheDaemonReports)
