Suggest the closest known name for an unknown setting

Cause: a misspelt setting was refused without a hint, while an unknown field of a manifest came with the closest known one.

--- a/lib/Settings/Section.cpp
+++ b/lib/Settings/Section.cpp
@@ -1,5 +1,6 @@
 #include "Section.h"
 
+#include "dragonflymoor/Support/ClosestName.h"
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
@@ -150,8 +151,12 @@
   if (object_ == nullptr)
     return;
   for (const auto& field : *object_) {
-    if (std::find(known_.begin(), known_.end(), field.key()) == known_.end())
-      Report(field.key(), "is not a known field");
+    if (std::find(known_.begin(), known_.end(), field.key()) != known_.end())
+      continue;
+    const std::string_view closest = ClosestName(field.key(), { known_.begin(), known_.end() });
+    Report(field.key(),
+           closest.empty() ? "is not a known field"
+                           : fmt::format("is not a known field. Did you mean {}?", closest));
   }
 }
 
--- a/unittests/Support/SupportTest.cpp
+++ b/unittests/Support/SupportTest.cpp
@@ -1,3 +1,4 @@
+#include "dragonflymoor/Support/ClosestName.h"
 #include "dragonflymoor/Support/Compression.h"
 #include "dragonflymoor/Support/Hash.h"
 #include "dragonflymoor/Support/Log.h"
@@ -81,3 +82,30 @@
 {
   cr_assert(ToHex(Hash128{ .high = 1, .low = 2 }) == "00000000000000010000000000000002");
 }
+
+struct NameRow
+{
+  std::string name;
+  std::string_view closest; ///< Empty: none.
+};
+
+// Guards against a suggestion that is another name than the one that was meant, or any at all.
+Test(ClosestName, SuggestsOnlySimilarNames)
+{
+  static const std::vector<std::string_view> kKnown{
+    "timeout_s", "goal_s", "home_regions", "name"
+  };
+  const NameRow kRows[] = { { "timeout", "timeout_s" },
+                            { "time_out_s", "timeout_s" },
+                            { "tiemout_s", "timeout_s" },
+                            { "GoalS", "goal_s" },
+                            { "home-region", "home_regions" },
+                            { "nmae", "" },
+                            { "nam", "name" },
+                            { "colour", "" },
+                            { "", "" },
+                            { std::string(100, 'n'), "" } };
+  for (const NameRow& row : kRows)
+    cr_expect(ClosestName(row.name, kKnown) == row.closest, "%s", row.name.c_str());
+  cr_assert(ClosestName("name", {}).empty());
+}
