--- a/include/dragonflymoor/Gateway/CallerFront.h
+++ b/include/dragonflymoor/Gateway/CallerFront.h
@@ -63,6 +63,9 @@
   /// connection.
   asio::awaitable<std::shared_ptr<Answer>> ProcessRequest(const ConnectionPtr& aConnection,
                                                           const RequestPtr& aRequest);
+  /// Brings the caller's message into the form in which instances get it.
+  void PrepareMessage(Request& aRequest) const;
+  static RequestSpec MakeSpec(const Request& aRequest);
   asio::awaitable<std::shared_ptr<Answer>> DispatchRequest(const RequestPtr& aRequest);
   asio::awaitable<InstanceExchangeResult> RunAttempt(const RequestPtr& aRequest,
                                                      const InstanceAttempt& aAttempt);
--- a/include/dragonflymoor/Steering/Dispatcher.h
+++ b/include/dragonflymoor/Steering/Dispatcher.h
@@ -213,13 +213,10 @@
   std::vector<InstanceLoad> OwnLoad(TimePoint aNow) const;
   /// Requests of all VMs of the own failure domain at each instance, by their latest reports.
   std::vector<InstanceLoad> DomainLoad(TimePoint aNow) const;
-<<<<<<< HEAD
   /// Demand for quotas of this VM, or of its failure domain; empty while no workspace has a quota.
   std::optional<QuotaReport> ReportQuotas(TimePoint aNow, bool aOfDomain) const;
-=======
   /// Effect of the limits at aNow; all zero without adaptive limits. Takes time for each instance.
   LimitFigures ReadLimits(TimePoint aNow) const;
->>>>>>> c9d25c506abf2525613831e7d05e641577cc92d4
   size_t WaitingCount() const;
   size_t InFlightCount() const;
   /// Delay after which a caller may come back that was refused although no service is overloaded.
@@ -277,13 +274,10 @@
     std::optional<BackendId> currentInstance; ///< The instance of the attempt in flight.
     /// An earlier attempt may have run the request.
     bool mayHaveRun = false;
-<<<<<<< HEAD
     std::optional<uint32_t> quota; ///< The workspace whose quota it took a request of.
-=======
     // Of the latest attempt.
     bool sentWarm = false;     ///< This VM sent the object there a moment before.
     unsigned sentInFlight = 0; ///< Known requests at the instance, this one included.
->>>>>>> c9d25c506abf2525613831e7d05e641577cc92d4
     /// Cached while the request waits; cleared when the fleet or the tried instances change.
     std::map<RegionId, Ranking> rankings;
   };
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -147,35 +147,47 @@
   co_return co_await DispatchRequest(aRequest);
 }
 
+void
+CallerFront::PrepareMessage(Request& aRequest) const
+{
+  RemoveConnectionHeaders(aRequest.message);
+  aRequest.message.erase(http::field::expect);
+  if (!aRequest.routes->GetManifest().workspaces.empty())
+    protocol_.writeIdentity(aRequest.message,
+                            aRequest.workspace == nullptr ? nullptr : &aRequest.workspace->id);
+  if (aRequest.message.has_content_length() || !aRequest.message.body().empty())
+    aRequest.message.content_length(aRequest.message.body().size());
+  aRequest.message.version(11);
+}
+
+RequestSpec
+CallerFront::MakeSpec(const Request& aRequest)
+{
+  const uint64_t bodyHash = HashBytes(aRequest.message.body());
+  const std::string fingerprintInput =
+    fmt::format("{} {} {} {} {}",
+                ToStringView(aRequest.message.method_string()),
+                ToStringView(aRequest.message[http::field::host]),
+                ToStringView(aRequest.message.target()),
+                aRequest.callerAddress,
+                bodyHash);
+  RequestSpec spec{ .routes = aRequest.routes,
+                    .route = aRequest.route,
+                    .workspace = aRequest.workspace,
+                    .arrived = aRequest.arrivalTime,
+                    .deadline = aRequest.deadline,
+                    .fingerprint = HashBytes(fingerprintInput) };
+  if (aRequest.head.affinityKey)
+    spec.affinity = HashBytes(*aRequest.head.affinityKey);
+  return spec;
+}
+
 asio::awaitable<std::shared_ptr<CallerFront::Answer>>
 CallerFront::DispatchRequest(const RequestPtr& aRequest)
 {
   Request& request = *aRequest;
-  RemoveConnectionHeaders(request.message);
-  request.message.erase(http::field::expect);
-  if (!request.routes->GetManifest().workspaces.empty())
-    protocol_.writeIdentity(request.message,
-                            request.workspace == nullptr ? nullptr : &request.workspace->id);
-  if (request.message.has_content_length() || !request.message.body().empty())
-    request.message.content_length(request.message.body().size());
-  request.message.version(11);
-
-  const uint64_t bodyHash = HashBytes(request.message.body());
-  const std::string fingerprintInput = fmt::format("{} {} {} {} {}",
-                                                   ToStringView(request.message.method_string()),
-                                                   ToStringView(request.message[http::field::host]),
-                                                   ToStringView(request.message.target()),
-                                                   request.callerAddress,
-                                                   bodyHash);
-  RequestSpec spec{ .routes = request.routes,
-                    .route = request.route,
-                    .workspace = request.workspace,
-                    .arrived = request.arrivalTime,
-                    .deadline = request.deadline,
-                    .fingerprint = HashBytes(fingerprintInput) };
-  if (request.head.affinityKey)
-    spec.affinity = HashBytes(*request.head.affinityKey);
-  dispatcher_.Submit(ReadClocks().monotonic, request.ticket, std::move(spec));
+  PrepareMessage(request);
+  dispatcher_.Submit(ReadClocks().monotonic, request.ticket, MakeSpec(request));
 
   for (;;) {
     if (!request.attempt && !request.refusal && !request.callerGone) {
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -128,11 +128,8 @@
                                   .retryRatio = settings.retryRatio,
                                   .retrySlack = settings.retrySlack,
                                   .maxShift = settings.maxShift,
-<<<<<<< HEAD
-                                  .quotaSlack = settings.quotaSlack },
-=======
+                                  .quotaSlack = settings.quotaSlack,
                                   .adaptiveLimits = settings.adaptiveLimits },
->>>>>>> c9d25c506abf2525613831e7d05e641577cc92d4
                MakeDispatcherHooks())
   , instanceClient(trafficContext,
                    options.platform.protocol,
