--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -153,11 +153,13 @@
 StandInServer::ServeConnection(std::shared_ptr<Session> aSession)
 {
   for (;;) {
-    Request request;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none); // Callers' bodies are larger than Beast's default of 1 MB.
     auto [readError, bytesRead] =
-      co_await http::async_read(aSession->socket, aSession->buffer, request, kAwaitTuple);
+      co_await http::async_read(aSession->socket, aSession->buffer, parser, kAwaitTuple);
     if (readError)
       co_return;
+    const Request request = parser.release();
     Reaction reaction = handler_(request);
     if (reaction.neverAnswers || reaction.delay.count() > 0) {
       asio::steady_timer timer(
