Bound what a VM holds for its callers by one memory budget

Each request body was bounded, but not all of them together, and each attempt copied it. Trailers were buffered as long as they arrived, unread answers were kept for ever, and callers could use all descriptors.

MemoryBudget decides who may hold more bytes and who must give them up; bodies and answers are counted while they arrive. A request that finds no memory is not read until shortly before its deadline, and then rejected as not run (503 with Retry-After). Holders without progress lose their bytes first. A body is kept once, in segments, and all attempts share it. Bodies and unread answers have a minimum rate; callers' connections are bounded so that a quarter of the descriptors stays for instances, other VMs and the store. The settings memoryMegabytes and maxDescriptors are filled from the platform's limits. ByteBudget is replaced.

--- a/include/dragonflymoor/Gateway/InstanceClient.h
+++ b/include/dragonflymoor/Gateway/InstanceClient.h
@@ -1,10 +1,11 @@
 #ifndef DRAGONFLYMOOR_GATEWAY_INSTANCECLIENT_H
 #define DRAGONFLYMOOR_GATEWAY_INSTANCECLIENT_H
 
+#include "dragonflymoor/Gateway/MemoryBudget.h"
 #include "dragonflymoor/Gateway/Protocol.h"
+#include "dragonflymoor/Gateway/SharedBody.h"
 #include "dragonflymoor/Metrics/Metrics.h"
 #include "dragonflymoor/Steering/Dispatcher.h"
-#include "dragonflymoor/Support/ByteBudget.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
@@ -20,7 +21,8 @@
 
 namespace dfm {
 
-using InstanceRequest = http::request<http::string_body>;
+/// Copies share the body.
+using InstanceRequest = http::request<SharedBody>;
 using InstanceAnswer = http::response<http::string_body>;
 
 /// Ends an exchange with an instance from outside of it. Must be used on the thread of the socket.
@@ -54,6 +56,7 @@
 {
   AttemptEndReport report;
   std::shared_ptr<InstanceAnswer> answer;
+  std::shared_ptr<MemoryHold> memory; ///< Of the answer, pinned; null without an answer.
   /// What the answer states about the instance; empty without an answer that is surely its own.
   std::optional<InstanceStatement> statement;
   std::string error;   ///< For the log.
@@ -75,10 +78,11 @@
   /// Called for each answer that is surely the instance's own, before its exchange ends.
   using StatementHook = std::function<void(const InstanceRun&, const InstanceStatement&)>;
 
-  /// Precondition: aOnStatement is set.
+  /// Answers are counted in aBudget. Precondition: aBudget is not null and aOnStatement is set.
   InstanceClient(asio::io_context& aContext,
                  const Protocol& aProtocol,
                  Metrics& aMetrics,
+                 std::shared_ptr<MemoryBudget> aBudget,
                  StatementHook aOnStatement);
 
   /// Sends aMessage to the attempt's instance and waits for the whole answer. All referenced
@@ -119,11 +123,17 @@
   asio::awaitable<ConnectionPtr> Connect(const Endpoint& aEndpoint,
                                          ExchangeControl& aControl,
                                          error_code& aError);
-  /// Reads the rest of an answer whose header aParser has. Returns an error text, which is empty
-  /// when the answer is complete.
+  /// Reads the rest of an answer whose header aParser has, as the memory budget allows. Returns an
+  /// error text, which is empty when the answer is complete.
   asio::awaitable<std::string> ReadBody(Connection& aConnection,
                                         AnswerParser& aParser,
-                                        ByteReservation& aReservation);
+                                        const ExchangeControl& aControl,
+                                        const MemoryHold& aMemory);
+  /// Waits until the answer may occupy aBytes. Returns false when it never may, or when the
+  /// exchange was ended.
+  asio::awaitable<bool> WaitForMemory(const ExchangeControl& aControl,
+                                      const MemoryHold& aMemory,
+                                      size_t aBytes);
   asio::awaitable<void> Exchange(const ConnectionPtr& aConnection,
                                  const std::shared_ptr<InstanceRequest>& aMessage,
                                  const std::string& aRequestId,
@@ -139,7 +149,7 @@
   const Protocol& protocol_;
   Metrics& metrics_;
   StatementHook onStatement_;
-  std::shared_ptr<ByteBudget> answerBudget_;
+  std::shared_ptr<MemoryBudget> budget_;
   std::map<BackendId, std::vector<ConnectionPtr>> idleConnections_;
   std::set<std::shared_ptr<ExchangeControl>> activeControls_;
   TimePoint nextIdleCheckTime_;
--- a/include/dragonflymoor/Settings/SteeringSettings.h
+++ b/include/dragonflymoor/Settings/SteeringSettings.h
@@ -29,6 +29,8 @@
   double retryRatio = 0;   ///< Repeats of all VMs together for each request of a service.
   double retrySlack = 0;   ///< Repeats of all VMs together in each window besides.
   double maxShift = 0.15;  ///< Part of a region's requests that may change region within 2 s.
+  uint32_t memoryMegabytes = 112; ///< Of the machine. The default is that of the smallest one.
+  uint32_t maxDescriptors = 0;    ///< Of the process; 0 for the limit that the system states.
   Duration instanceReportPeriod = 1500ms; ///< At which instances renew their entries in the store.
   LogLevel logLevel = LogLevel::Info;
 
--- a/lib/Gateway/CallerConnections.cpp
+++ b/lib/Gateway/CallerConnections.cpp
@@ -21,6 +21,41 @@
 /// sent a request already.
 constexpr Duration kMinIdleTime = 200ms;
 
+/// Callers send bodies and read answers at this rate at least, in bytes a second, averaged over the
+/// time since the first of them and with the idle time-out in hand. Far below any usual link.
+constexpr double kMinRate = 1024;
+
+/// How long a rejected request is read and discarded. Closing a socket with unread bytes sends a
+/// reset, which may reach the caller before the answer does.
+constexpr Duration kDrainTime = 2s;
+
+/// Whether the connection exceeds the time-out or falls below the rate of its phase.
+template<typename Connection>
+bool
+IsOverdue(const Connection& aConnection, const CallerLimits& aLimits, TimePoint aNow)
+{
+  using Phase = typename Connection::Phase;
+  const Duration inPhase = aNow - aConnection.phaseStart;
+  switch (aConnection.phase) {
+    case Phase::Idle:
+      return inPhase >= aLimits.idleTimeout;
+    case Phase::Header:
+      return inPhase >= aLimits.headerTimeout;
+    case Phase::Draining:
+      return inPhase >= kDrainTime;
+    case Phase::Body:
+    case Phase::Writing:
+      if (aConnection.waitsForMemory)
+        return false;
+      return aNow - aConnection.lastProgress >= aLimits.idleTimeout ||
+             ToSeconds(inPhase - aLimits.idleTimeout) * kMinRate >
+               static_cast<double>(aConnection.phaseBytes);
+    case Phase::Answering:
+      return false;
+  }
+  return false;
+}
+
 http::status
 StatusForReadError(const error_code& aError)
 {
@@ -44,6 +79,10 @@
 void
 CallerFront::Serve(tcp::socket aSocket)
 {
+  if (connections_.size() >= options_.maxConnections && !CloseLeastUseful(ReadClocks().monotonic)) {
+    metrics_.Count("connections-refused");
+    return; // The socket closes.
+  }
   SetLiveness(aSocket);
   auto connection = std::make_shared<Connection>(std::move(aSocket));
   connection->EnterPhase(Connection::Phase::Idle);
@@ -65,7 +104,9 @@
       break;
     answer->keep_alive(request->keepAlive && !stopping_);
     const bool keepAlive = answer->keep_alive();
-    auto [error, bytes] = co_await http::async_write(aConnection->socket, *answer, kAwaitTuple);
+    // No attempt follows that could need the body.
+    request->message.body() = std::make_shared<const SegmentedBytes>();
+    const bool written = co_await WriteAnswer(aConnection, request, *answer);
     requests_.erase(request->ticket);
     if (request->route != nullptr)
       metrics_.Observe("request",
@@ -73,7 +114,7 @@
                        request->route->name,
                        ToSeconds(ReadClocks().monotonic - request->arrivalTime));
     aConnection->EnterPhase(Connection::Phase::Idle);
-    if (error || !keepAlive) {
+    if (!written || !keepAlive) {
       // Closing a socket with unread bytes sends a reset, which may reach the caller before the
       // answer does.
       aConnection->socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -96,43 +137,75 @@
   connection.EnterPhase(Connection::Phase::Header);
   const CallerLimits limits =
     view_->routes == nullptr ? kDefaultLimits : view_->routes->GetManifest().limits;
-  http::request_parser<http::string_body> parser;
+  connection.buffer.max_size(limits.headerBytes + kReadBytes);
+  RequestParser parser;
   parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
   parser.body_limit(limits.bodyBytes);
   auto [headError, headBytes] =
     co_await http::async_read_header(connection.socket, connection.buffer, parser, kAwaitTuple);
   error_code error = headError;
-  if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+  connection.refused = !error && !options_.memory->CanEverHold(parser.content_length().value_or(0));
+  if (!error && !connection.refused &&
+      beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     http::response<http::string_body> interim(http::status::continue_, 11);
     auto [writeError, bytes] = co_await http::async_write(connection.socket, interim, kAwaitTuple);
     error = writeError;
   }
-  if (!error && !parser.is_done()) {
+  if (!error && !connection.refused && !parser.is_done()) {
     connection.EnterPhase(Connection::Phase::Body);
-    auto [bodyError, bodyBytes] =
-      co_await http::async_read(connection.socket, connection.buffer, parser, kAwaitTuple);
-    error = bodyError;
+    connection.memory =
+      std::make_shared<MemoryHold>(options_.memory, ReadClocks().monotonic, BytePurpose::Request);
+    error = co_await ReadBody(aConnection, parser);
+  }
+  // From here on the body shares the ownership.
+  std::shared_ptr<MemoryHold> memory = std::move(connection.memory);
+  if (connection.refused) {
+    parser.get().body() = {};
+    memory.reset();
+    co_await RefuseForMemory(aConnection);
+    co_return false;
   }
   if (error) {
-    if (IsProtocolError(error)) {
-      metrics_.Count("bad-requests", Reason::BadRequest);
-      Log(LogLevel::Warning, kComponent, "bad request", { { "error", error.message() } });
-      http::response<http::string_body> answer(StatusForReadError(error), 11);
-      answer.keep_alive(false);
-      answer.prepare_payload();
-      co_await http::async_write(connection.socket, answer, kAwaitTuple);
-    }
+    if (IsProtocolError(error))
+      co_await AnswerBadRequest(connection, error);
     co_return false;
   }
-  connection.EnterPhase(Connection::Phase::Answering);
-  aRequest->keepAlive = parser.get().keep_alive();
-  aRequest->message = parser.release();
-  aRequest->arrivalTime = ReadClocks().monotonic;
-  error_code ignored; // Without a peer the address is unspecified.
-  aRequest->callerAddress = connection.socket.remote_endpoint(ignored).address().to_string();
+  TakeRequest(connection, parser, std::move(memory), *aRequest);
   co_return true;
 }
 
+asio::awaitable<void>
+CallerFront::AnswerBadRequest(Connection& aConnection, error_code aError)
+{
+  metrics_.Count("bad-requests", Reason::BadRequest);
+  Log(LogLevel::Warning, kComponent, "bad request", { { "error", aError.message() } });
+  http::response<http::string_body> answer(StatusForReadError(aError), 11);
+  answer.keep_alive(false);
+  answer.prepare_payload();
+  co_await http::async_write(aConnection.socket, answer, kAwaitTuple);
+}
+
+void
+CallerFront::TakeRequest(Connection& aConnection,
+                         RequestParser& aParser,
+                         std::shared_ptr<MemoryHold> aMemory,
+                         Request& aRequest)
+{
+  aConnection.EnterPhase(Connection::Phase::Answering);
+  ++aConnection.requests;
+  if (aMemory != nullptr)
+    options_.memory->Pin(aMemory->Id());
+  aRequest.keepAlive = aParser.get().keep_alive();
+  auto message = aParser.release();
+  const auto body = std::make_shared<const StoredBody>(
+    StoredBody{ .bytes = std::move(message.body()), .memory = std::move(aMemory) });
+  aRequest.message = InstanceRequest(std::move(message.base()),
+                                     std::shared_ptr<const SegmentedBytes>(body, &body->bytes));
+  aRequest.arrivalTime = ReadClocks().monotonic;
+  error_code ignored; // Without a peer the address is unspecified.
+  aRequest.callerAddress = aConnection.socket.remote_endpoint(ignored).address().to_string();
+}
+
 void
 CallerFront::WatchForCallerClose(const ConnectionPtr& aConnection, const RequestPtr& aRequest)
 {
@@ -181,13 +254,18 @@
     view_->routes == nullptr ? kDefaultLimits : view_->routes->GetManifest().limits;
   error_code ignored; // The connection is dropped in any case.
   for (const ConnectionPtr& connection : connections_) {
-    if (connection->phase == Connection::Phase::Answering)
+    if (!IsOverdue(*connection, limits, aNow))
       continue;
-    const Duration limit =
-      connection->phase == Connection::Phase::Header ? limits.headerTimeout : limits.idleTimeout;
-    if (aNow - connection->phaseStart >= limit)
+    if (connection->phase == Connection::Phase::Writing) {
+      // Must not look complete.
+      metrics_.Count("answers-unread");
+      ResetConnection(connection->socket);
+    } else {
       connection->socket.close(ignored);
+      connection->memoryTimer.cancel();
+    }
   }
+  metrics_.SetGauge("caller_connections", static_cast<double>(connections_.size()));
 }
 
 void
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -66,12 +66,14 @@
                          const Protocol& aProtocol,
                          Dispatcher& aDispatcher,
                          InstanceClient& aInstances,
-                         Metrics& aMetrics)
+                         Metrics& aMetrics,
+                         CallerFrontOptions aOptions)
   : context_(aContext)
   , protocol_(aProtocol)
   , dispatcher_(aDispatcher)
   , instances_(aInstances)
   , metrics_(aMetrics)
+  , options_(std::move(aOptions))
   , view_(std::make_shared<FleetView>())
 {
 }
@@ -156,11 +158,14 @@
   if (!request.routes->GetManifest().workspaces.empty())
     protocol_.writeIdentity(request.message,
                             request.workspace == nullptr ? nullptr : &request.workspace->id);
-  if (request.message.has_content_length() || !request.message.body().empty())
-    request.message.content_length(request.message.body().size());
+  const SegmentedBytes& body = *request.message.body();
+  if (request.message.has_content_length() || !body.Empty())
+    request.message.content_length(body.Size());
   request.message.version(11);
 
-  const uint64_t bodyHash = HashBytes(request.message.body());
+  uint64_t bodyHash = HashBytes({});
+  for (size_t i = 0; i < body.Segments().size(); ++i)
+    bodyHash = HashBytes(body.Segments()[i], i == 0 ? 0 : bodyHash);
   const std::string fingerprintInput = fmt::format("{} {} {} {} {}",
                                                    ToStringView(request.message.method_string()),
                                                    ToStringView(request.message[http::field::host]),
@@ -211,6 +216,7 @@
         const bool bodyless = request.message.method() == http::verb::head;
         if (!bodyless)
           result.answer->prepare_payload();
+        request.answerMemory = result.memory;
         co_return result.answer;
       }
       case Verdict::Refuse: {
@@ -238,7 +244,8 @@
 asio::awaitable<InstanceExchangeResult>
 CallerFront::RunAttempt(const RequestPtr& aRequest, const InstanceAttempt& aAttempt)
 {
-  // Each attempt has its own copy, as the write of the previous attempt may not have ended.
+  // Each attempt has its own headers, as the write of the previous attempt may not have ended. All
+  // share the body.
   const auto message = std::make_shared<InstanceRequest>(aRequest->message);
   aRequest->control = std::make_shared<ExchangeControl>();
   InstanceExchangeResult result =
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -16,6 +16,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <random>
+#include <sys/resource.h>
 #include <thread>
 
 namespace dfm {
@@ -56,6 +57,38 @@
 /// Pause after a failed accept, so that a lasting error causes no busy loop.
 constexpr Duration kAcceptPause = 50ms;
 
+/// Answers of instances that their callers have not read, together.
+constexpr size_t kMaxAnswerBytes = 32UL * 1024 * 1024;
+
+/// Bytes that the VM may hold for others. The process itself needs less than the other half on the
+/// smallest machines; half of 260 MB still holds a body of 64 MiB.
+size_t
+BudgetOf(const SteeringSettings& aSettings)
+{
+  constexpr size_t kMegabyte = 1024UL * 1024;
+  return aSettings.memoryMegabytes * kMegabyte / 2;
+}
+
+struct DescriptorShares
+{
+  size_t callers = 0;
+  size_t pages = 0; ///< Of each page server.
+};
+
+/// Divides the descriptors of the process; a quarter stays for instances, other VMs and the store.
+DescriptorShares
+DivideDescriptors(const SteeringSettings& aSettings)
+{
+  constexpr size_t kPageServers = 3;
+  rlimit limit{ .rlim_cur = RLIM_INFINITY, .rlim_max = RLIM_INFINITY };
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  size_t total = limit.rlim_cur;
+  if (aSettings.maxDescriptors > 0)
+    total = std::min<size_t>(total, aSettings.maxDescriptors);
+  const size_t pages = std::clamp<size_t>(total / 32, 8, 256);
+  return { .callers = total - total / 4 - kPageServers * pages, .pages = pages };
+}
+
 uint64_t
 MakeRandomSeed()
 {
@@ -99,6 +132,7 @@
   std::shared_ptr<const FleetView> fleetView = std::make_shared<FleetView>();
   asio::io_context trafficContext{ 1 };
   asio::io_context controlContext{ 1 };
+  std::shared_ptr<MemoryBudget> memory;
   Dispatcher dispatcher;
   InstanceClient instanceClient;
   CallerFront callerFront;
@@ -117,6 +151,9 @@
   : options(std::move(aOptions))
   , settings(options.settings)
   , random(MakeRandomSeed())
+  , memory(std::make_shared<MemoryBudget>(
+      MemoryBudgetOptions{ .maxBytes = BudgetOf(settings),
+                           .maxAnswerBytes = std::min(kMaxAnswerBytes, BudgetOf(settings)) }))
   , dispatcher(DispatcherOptions{ .self = settings.self.id,
                                   .region = settings.self.region,
                                   .failureDomain = settings.self.failureDomain,
@@ -128,10 +165,17 @@
   , instanceClient(trafficContext,
                    options.platform.protocol,
                    metrics,
+                   memory,
                    [this](const InstanceRun& aRun, const InstanceStatement& aStatement) {
                      OnInstanceStatement(aRun, aStatement);
                    })
-  , callerFront(trafficContext, options.platform.protocol, dispatcher, instanceClient, metrics)
+  , callerFront(
+      trafficContext,
+      options.platform.protocol,
+      dispatcher,
+      instanceClient,
+      metrics,
+      CallerFrontOptions{ .memory = memory, .maxConnections = DivideDescriptors(settings).callers })
   , loadExchange(
       trafficContext,
       settings.self,
@@ -345,6 +389,7 @@
     co_await timer.async_wait(kAwaitTuple);
     const TimePoint now = ReadClocks().monotonic;
     instanceClient.OnTick(now);
+    callerFront.OnMemoryTick(now);
     dispatcher.OnTick(now);
     loadExchange.OnTick(now);
     if (now >= nextGaugeTime) {
--- a/lib/Gateway/InstanceClient.cpp
+++ b/lib/Gateway/InstanceClient.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflymoor/Net/Clock.h"
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -41,9 +42,12 @@
 /// A connection is closed after this many interim answers (1xx) to one request.
 constexpr int kMaxInterimAnswers = 16;
 
-/// Limit of the bodies of all answers that are read or not yet delivered. A string that grows may
-/// occupy three times its size for a moment, and the smallest VMs have 160 MB.
+/// Limit of the body of one answer.
 constexpr size_t kMaxAnswerBytes = 32UL * 1024 * 1024;
+
+/// How often an answer that waits for memory tries again.
+constexpr Duration kMemoryPollPeriod = 20ms;
+
 constexpr size_t kMaxAnswerHeaderBytes = 64UL * 1024;
 
 /// Limit of received bytes that are not parsed yet. Without it a line of a chunked body that never
@@ -92,12 +96,13 @@
 InstanceClient::InstanceClient(asio::io_context& aContext,
                                const Protocol& aProtocol,
                                Metrics& aMetrics,
+                               std::shared_ptr<MemoryBudget> aBudget,
                                StatementHook aOnStatement)
   : context_(aContext)
   , protocol_(aProtocol)
   , metrics_(aMetrics)
   , onStatement_(std::move(aOnStatement))
-  , answerBudget_(std::make_shared<ByteBudget>(kMaxAnswerBytes))
+  , budget_(std::move(aBudget))
 {
 }
 
@@ -160,18 +165,45 @@
   co_return connection;
 }
 
+asio::awaitable<bool>
+InstanceClient::WaitForMemory(const ExchangeControl& aControl,
+                              const MemoryHold& aMemory,
+                              size_t aBytes)
+{
+  MemoryBudget& budget = aMemory.Budget();
+  if (budget.TryGrow(aMemory.Id(), aBytes))
+    co_return true;
+  if (!budget.IsWithinAnswerBound(aMemory.Id(), aBytes))
+    co_return false;
+  metrics_.Count("answers-paused-for-memory");
+  asio::steady_timer timer(context_);
+  while (aControl.GetCloseReason() == ExchangeControl::CloseReason::None) {
+    // The exchange ends at its deadline.
+    budget.Wait(aMemory.Id(), aBytes, TimePoint::max());
+    timer.expires_after(kMemoryPollPeriod);
+    co_await timer.async_wait(kAwaitTuple);
+    if (budget.TryGrow(aMemory.Id(), aBytes))
+      co_return true;
+    if (!budget.IsWithinAnswerBound(aMemory.Id(), aBytes))
+      co_return false;
+  }
+  co_return false;
+}
+
 asio::awaitable<std::string>
 InstanceClient::ReadBody(Connection& aConnection,
                          AnswerParser& aParser,
-                         ByteReservation& aReservation)
+                         const ExchangeControl& aControl,
+                         const MemoryHold& aMemory)
 {
-  bool fits = aReservation.GrowTo(aParser.content_length_remaining().value_or(0));
+  bool fits =
+    co_await WaitForMemory(aControl, aMemory, aParser.content_length_remaining().value_or(0));
   while (fits && !aParser.is_done()) {
     auto [error, bytes] =
       co_await http::async_read_some(aConnection.socket, aConnection.buffer, aParser, kAwaitTuple);
     if (error)
       co_return error.message();
-    fits = aReservation.GrowTo(aParser.get().body().size());
+    fits = co_await WaitForMemory(aControl, aMemory, aParser.get().body().capacity());
   }
   if (fits)
     co_return std::string();
@@ -221,8 +253,10 @@
       aResult.error = "too many interim answers";
       co_return;
     }
-    const auto reservation = std::make_shared<ByteReservation>(answerBudget_);
-    const std::string bodyError = co_await ReadBody(*aConnection, parser, *reservation);
+    const auto memory =
+      std::make_shared<MemoryHold>(budget_, ReadClocks().monotonic, BytePurpose::Answer);
+    budget_->Pin(memory->Id());
+    const std::string bodyError = co_await ReadBody(*aConnection, parser, aControl, *memory);
     if (!bodyError.empty()) {
       aResult.error = "answer is incomplete: " + bodyError;
       co_return;
@@ -250,9 +284,8 @@
     aReusable = foreignAnswers == 0 && !connectionCloses && writeState->done &&
                 !writeState->error && aConnection->buffer.size() == 0 &&
                 aControl.GetCloseReason() == ExchangeControl::CloseReason::None;
-    aResult.answer = std::shared_ptr<InstanceAnswer>(
-      new InstanceAnswer(parser.release()),
-      [reservation](InstanceAnswer* aAnswer) { std::default_delete<InstanceAnswer>()(aAnswer); });
+    aResult.answer = std::make_shared<InstanceAnswer>(parser.release());
+    aResult.memory = memory;
     aResult.report.kind = AttemptEndReport::Kind::Answered;
     co_return;
   }
--- a/lib/Settings/SteeringSettings.cpp
+++ b/lib/Settings/SteeringSettings.cpp
@@ -14,6 +14,12 @@
 
 constexpr double kMaxSeconds = 3600;
 
+/// The process itself needs about half of the lower bound.
+constexpr uint64_t kMinMegabytes = 64;
+constexpr uint64_t kMaxMegabytes = 1'000'000;
+constexpr uint64_t kMinDescriptors = 128;
+constexpr uint64_t kMaxDescriptors = 10'000'000;
+
 struct PortRange
 {
   uint16_t first = 0;
@@ -99,6 +105,10 @@
   settings.retryRatio = root.Real("retryRatio", settings.retryRatio, 0, 1);
   settings.retrySlack = root.Real("retrySlack", settings.retrySlack, 0, 1e6);
   settings.maxShift = root.Real("maxShift", settings.maxShift, 0, 1);
+  settings.memoryMegabytes = static_cast<uint32_t>(
+    root.Number("memoryMegabytes", settings.memoryMegabytes, kMinMegabytes, kMaxMegabytes));
+  settings.maxDescriptors = static_cast<uint32_t>(
+    root.Number("maxDescriptors", settings.maxDescriptors, kMinDescriptors, kMaxDescriptors));
   settings.instanceReportPeriod =
     ReadSeconds(root, "instanceReportSeconds", ToSeconds(settings.instanceReportPeriod));
   root.Finish();
--- a/tools/dragonflymoord/main.cpp
+++ b/tools/dragonflymoord/main.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <malloc.h>
 
 DEFINE_string(config, "", "settings file, JSON with comments");
 DEFINE_bool(platform, false, "serve on the users' platform; the settings file is the one it names");
@@ -24,6 +25,8 @@
 /// Environment variable in which the platform names the settings file.
 constexpr const char* kSettingsVariable = "DRAGONFLYMOOR_CONFIG";
 
+constexpr int kMapThresholdBytes = 128 * 1024;
+
 int
 ServeOnPlatform(std::string aFile)
 {
@@ -36,6 +39,9 @@
     return Fail(settings.error());
   if (FLAGS_check)
     return EXIT_SUCCESS;
+  // Bodies are held in blocks above this size, which then return to the system when they are freed.
+  // By default the allocator raises the threshold and keeps them.
+  ::mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
   dfm::BufferLog();
   auto gateway =
     dfm::Gateway::Create({ .settings = *settings,
--- a/unittests/Settings/SteeringSettingsTest.cpp
+++ b/unittests/Settings/SteeringSettingsTest.cpp
@@ -17,7 +17,8 @@
   "vmPorts": {"first": 7540, "last": 7555},
   "seeds": ["10.2.0.34:8544"],
   "store": "10.200.1.7:8541",
-  "stopSeconds": 6, "directoryTtlSeconds": 1, "retryRatio": 0.2, "retrySlack": 58, "maxShift": 0.1, // a comment
+  "stopSeconds": 6, "directoryTtlSeconds": 1, "retryRatio": 0.2, "retrySlack": 58, "maxShift": 0.1,
+  "memoryMegabytes": 260, "maxDescriptors": 2870, // a comment
 })";
 
 std::string
@@ -38,6 +39,7 @@
   cr_assert(settings->seeds.size() == 1 && settings->seeds[0].port == 7540);
   cr_assert(settings->failureDomains.at(FailureDomainId("south-a")) == RegionId("south"));
   cr_assert(settings->stopTime == 6s && settings->retrySlack == 58 && settings->maxShift == 0.1);
+  cr_assert(settings->memoryMegabytes == 260 && settings->maxDescriptors == 2870);
 }
 
 /// Broken settings were accepted, or the finding did not name its place.
@@ -55,6 +57,8 @@
     { "\"last\": 7555", "\"last\": 7540", "f: vmPorts.last" },
     { "\"stopSeconds\": 6", "\"stopSeconds\": \"six\"", "f: stopSeconds" },
     { "\"retryRatio\": 0.2", "\"retryRatio\": 2", "f: retryRatio" },
+    { "\"memoryMegabytes\": 260", "\"memoryMegabytes\": 1", "f: memoryMegabytes" },
+    { "\"maxDescriptors\": 2870", "\"maxDescriptors\": 1", "f: maxDescriptors" },
     { "\"south\"", "7", "f: failureDomains" },
     { "\"seeds\": [", "\"unknown\": 1, \"seeds\": [", "f: unknown" },
   };
