--- a/include/dragonflymoor/Settings/SteeringSettings.h
+++ b/include/dragonflymoor/Settings/SteeringSettings.h
@@ -30,6 +30,8 @@
   double retrySlack = 0;   ///< Repeats of all VMs together in each window besides.
   double maxShift = 0.15;  ///< Part of a region's requests that may change region within 2 s.
   double quotaSlack = 0;   ///< Requests by which a workspace may exceed its quota in a window.
+  uint32_t memoryMegabytes = 112; ///< Of the machine. The default is that of the smallest one.
+  uint32_t maxDescriptors = 0;    ///< Of the process; 0 for the limit that the system states.
   Duration instanceReportPeriod = 1500ms; ///< At which instances renew their entries in the store.
   bool adaptiveLimits = false; ///< Slow instances get fewer requests than they have slots.
   LogLevel logLevel = LogLevel::Info;
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -66,12 +66,14 @@
                          const Protocol& aProtocol,
                          Dispatcher& aDispatcher,
                          InstanceClient& aInstances,
-                         Metrics& aMetrics)
+                         Metrics& aMetrics,
+                         CallerFrontOptions aOptions)
   : context_(aContext)
   , protocol_(aProtocol)
   , dispatcher_(aDispatcher)
   , instances_(aInstances)
   , metrics_(aMetrics)
+  , options_(std::move(aOptions))
   , view_(std::make_shared<FleetView>())
 {
 }
@@ -155,15 +157,19 @@
   if (!aRequest.routes->GetManifest().workspaces.empty())
     protocol_.writeIdentity(aRequest.message,
                             aRequest.workspace == nullptr ? nullptr : &aRequest.workspace->id);
-  if (aRequest.message.has_content_length() || !aRequest.message.body().empty())
-    aRequest.message.content_length(aRequest.message.body().size());
+  const SegmentedBytes& body = *aRequest.message.body();
+  if (aRequest.message.has_content_length() || !body.Empty())
+    aRequest.message.content_length(body.Size());
   aRequest.message.version(11);
 }
 
 RequestSpec
 CallerFront::MakeSpec(const Request& aRequest)
 {
-  const uint64_t bodyHash = HashBytes(aRequest.message.body());
+  const SegmentedBytes& body = *aRequest.message.body();
+  uint64_t bodyHash = HashBytes({});
+  for (size_t i = 0; i < body.Segments().size(); ++i)
+    bodyHash = HashBytes(body.Segments()[i], i == 0 ? 0 : bodyHash);
   const std::string fingerprintInput =
     fmt::format("{} {} {} {} {}",
                 ToStringView(aRequest.message.method_string()),
@@ -225,6 +231,7 @@
         const bool bodyless = request.message.method() == http::verb::head;
         if (!bodyless)
           result.answer->prepare_payload();
+        request.answerMemory = result.memory;
         co_return result.answer;
       }
       case Verdict::Refuse: {
@@ -252,7 +259,8 @@
 asio::awaitable<InstanceExchangeResult>
 CallerFront::RunAttempt(const RequestPtr& aRequest, const InstanceAttempt& aAttempt)
 {
-  // Each attempt has its own copy, as the write of the previous attempt may not have ended.
+  // Each attempt has its own headers, as the write of the previous attempt may not have ended. All
+  // share the body.
   const auto message = std::make_shared<InstanceRequest>(aRequest->message);
   aRequest->control = std::make_shared<ExchangeControl>();
   InstanceExchangeResult result =
