--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -52,6 +52,10 @@
   void Leave();
 
 private:
+  /// Period at which this VM asks another VM for the state while it does not follow the store, or
+  /// the store does not answer.
+  static constexpr Duration kPeerPollPeriod = 200ms;
+
   asio::awaitable<void> FollowObjects(ObjectKind aKind);
   asio::awaitable<bool> ListObjects(ObjectKind aKind);
   asio::awaitable<void> RegisterAndListVms();
--- a/include/dragonflymoor/Gateway/Protocol.h
+++ b/include/dragonflymoor/Gateway/Protocol.h
@@ -79,6 +79,7 @@
   std::function<std::optional<DirectoryQuery>(std::string_view aTarget)> parseDirectoryQuery;
   /// Formats the body of a directory answer. Callers may cache the addresses for aTtl.
   std::function<std::string(const std::vector<Endpoint>&, Duration aTtl)> formatDirectoryAnswer;
+  std::string keyScheme;       ///< Authentication scheme that callers without a key are told.
   std::string readinessTarget; ///< Path of the readiness check.
 };
 
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -134,7 +134,7 @@
   if (identity.verdict == CallerIdentity::Verdict::Unknown) {
     metrics_.Count("callers-unknown");
     auto answer = MakeOwnAnswer(http::status::unauthorized, "unknown key", request);
-    answer->set(http::field::www_authenticate, "Bearer");
+    answer->set(http::field::www_authenticate, protocol_.keyScheme);
     co_return answer;
   }
   if (identity.verdict == CallerIdentity::Verdict::Unavailable) {
--- /dev/null
+++ b/lib/Gateway/FleetPeers.cpp
@@ -0,0 +1,219 @@
+#include "dragonflymoor/Gateway/FleetSync.h"
+#include "dragonflymoor/Gateway/Tasks.h"
+#include "dragonflymoor/Net/Clock.h"
+#include "dragonflymoor/Net/Listen.h"
+#include "dragonflymoor/Support/Log.h"
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace dfm {
+
+namespace {
+
+constexpr std::string_view kComponent = "fleet";
+
+constexpr Duration kPeerConnectTimeout = 500ms;
+
+/// Wait before this VM asks a VM that another one named.
+constexpr Duration kRedirectWait = 10ms;
+
+/// Wait after a failed accept, so that a lasting error causes no busy loop.
+constexpr Duration kAcceptPause = 100ms;
+
+} // namespace
+
+asio::awaitable<void>
+FleetSync::PollPeers()
+{
+  for (;;) {
+    const auto peers = storeFollowing_.PeersToAsk(
+      ReadClocks().monotonic, registeredVms_, keeper_.HasLapsedEntries());
+    bool redirected = false;
+    if (!peers.empty())
+      redirected = co_await RequestState(peers[random_.Below(peers.size())]);
+    co_await Sleep(redirected ? kRedirectWait : kPeerPollPeriod);
+  }
+}
+
+asio::awaitable<void>
+FleetSync::SendToPeer(Endpoint aPeer, std::string aPayload)
+{
+  auto socket = co_await ConnectToPeer(context_, aPeer, kPeerConnectTimeout);
+  if (!socket) {
+    metrics_.Count("peer-messages-unsent", Reason::PeerUnreachable);
+    co_return;
+  }
+  const auto connection = std::make_shared<FrameConnection>(
+    std::move(*socket),
+    FrameConnection::Hooks{
+      .payload = [](const std::string&) { return tl::expected<void, CodecError>(); },
+      .closed = [](const std::string&) {},
+    });
+  connection->Start();
+  const std::weak_ptr<FrameConnection> weak = connection;
+  connection->Send({ .payload = std::move(aPayload), .done = [weak] {
+                      if (const auto sent = weak.lock())
+                        sent->Close();
+                    } });
+}
+
+asio::awaitable<bool>
+FleetSync::RequestState(Endpoint aPeer)
+{
+  StateRequest request;
+  // Delegates do not tell whether the store is steady.
+  if (!keeper_.HasLapsedEntries() && storeFollowing_.MayBeRedirected(ReadClocks().monotonic)) {
+    request.domain = options_.self.failureDomain;
+    request.peers = options_.self.peers;
+  }
+  for (size_t i = 0; i < kObjectKindCount; ++i)
+    request.revisions[i] = keeper_.Snapshot(static_cast<ObjectKind>(i)).revision;
+  const auto envelope = co_await stateClient_.Request(aPeer, EncodePeer(options_.self.id, request));
+  if (!envelope) {
+    metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
+    storeFollowing_.OnPeerRequestFailed(ReadClocks().monotonic, aPeer);
+    co_return false;
+  }
+  const auto& reply = std::get<StateReply>(envelope->message);
+  OnStateReply(aPeer, envelope->sender, reply);
+  co_return !reply.delegates.empty() || storeFollowing_.MustAskAnotherPeer();
+}
+
+asio::awaitable<void>
+FleetSync::AcceptPeers()
+{
+  for (;;) {
+    auto [error, socket] = co_await acceptor_.async_accept(kAwaitTuple);
+    if (error == asio::error::operation_aborted)
+      co_return;
+    if (error) {
+      Log(LogLevel::Warning, kComponent, "accept failed", { { "error", error.message() } });
+      co_await Sleep(kAcceptPause);
+      continue;
+    }
+    // The connection's hooks hold a reference to the connection until it closes.
+    const auto connectionHolder = std::make_shared<std::shared_ptr<FrameConnection>>();
+    *connectionHolder = std::make_shared<FrameConnection>(
+      std::move(socket),
+      FrameConnection::Hooks{
+        .payload =
+          [this, connectionHolder](const std::string& aPayload) {
+            const auto connection = *connectionHolder;
+            return OnPeerPayload(aPayload, connection);
+          },
+        .closed = [connectionHolder](const std::string&) { connectionHolder->reset(); },
+      });
+    (*connectionHolder)->Start();
+  }
+}
+
+tl::expected<void, CodecError>
+FleetSync::OnPeerPayload(std::string_view aPayload,
+                         const std::shared_ptr<FrameConnection>& aConnection)
+{
+  const auto envelope = DecodePeer(aPayload);
+  if (!envelope)
+    return tl::unexpected(envelope.error());
+  if (const auto* request = std::get_if<StateRequest>(&envelope->message)) {
+    if (aConnection != nullptr)
+      aConnection->Send({ .payload = EncodePeer(options_.self.id, MakeStateReply(*request)) });
+    return {};
+  }
+  if (const auto* list = std::get_if<PeerMemberSync>(&envelope->message)) {
+    if (membershipStarted_)
+      membership_->OnSync(ReadClocks(), envelope->sender, list->sync);
+    return {};
+  }
+  return tl::unexpected(CodecError{ "message: not for this connection" });
+}
+
+const std::string&
+FleetSync::PackedSnapshot(ObjectKind aKind)
+{
+  const ObjectSet& set = keeper_.Snapshot(aKind);
+  PackedState& packed = packedStates_[static_cast<size_t>(aKind)];
+  if (packed.bytes.empty() || packed.revision != set.revision)
+    packed = { .revision = set.revision, .bytes = PackObjects(set.objects) };
+  return packed.bytes;
+}
+
+StateReply
+FleetSync::MakeStateReply(const StateRequest& aRequest)
+{
+  const TimePoint now = ReadClocks().monotonic;
+  const auto answerAge = storeFollowing_.StoreAnswerAge(now);
+  const bool steady = storeFollowing_.IsServedByFollower(now) ? keeper_.IsStoreSteadyAtPeer(now)
+                                                              : keeper_.IsStoreSteady(now);
+  StateReply reply{ .storeSteady = answerAge && steady && !storeFollowing_.IsStateStale(now),
+                    .storeReachable = answerAge.has_value(),
+                    .answerAge = answerAge.value_or(Duration{}) };
+  // The delegates of a VM that has lost the store rely on it, or on those that ask it now.
+  if (answerAge && !aRequest.domain.Empty())
+    reply.delegates = delegation_.DelegatesFor(now, aRequest.domain, aRequest.peers);
+  if (!reply.delegates.empty())
+    return reply;
+  for (size_t i = 0; i < kObjectKindCount; ++i) {
+    const auto kind = static_cast<ObjectKind>(i);
+    const ObjectSet& set = keeper_.Snapshot(kind);
+    if (set.revision <= aRequest.revisions[i])
+      continue;
+    const auto changes = keeper_.ChangesSince(kind, aRequest.revisions[i]);
+    if (!changes) {
+      reply.kinds.push_back(
+        { .kind = kind, .set = { .revision = set.revision }, .packed = PackedSnapshot(kind) });
+      continue;
+    }
+    StateReply::Kind answer{ .kind = kind, .set = { .revision = set.revision }, .complete = false };
+    for (const ObjectChange& change : *changes) {
+      if (change.content)
+        answer.set.objects[change.name] = *change.content;
+      else
+        answer.removed.push_back(change.name);
+    }
+    reply.kinds.push_back(std::move(answer));
+  }
+  return reply;
+}
+
+void
+FleetSync::OnStateReply(const Endpoint& aPeer, const VmId& aFrom, const StateReply& aReply)
+{
+  const TimePoint now = ReadClocks().monotonic;
+  if (!aReply.delegates.empty()) {
+    storeFollowing_.OnDelegates(now, aReply.delegates);
+    return;
+  }
+  keeper_.OnPeerStoreStatus(now, aReply.storeSteady);
+  if (aReply.storeReachable)
+    keeper_.OnStoreAnswer(now - aReply.answerAge);
+  if (storeFollowing_.OnPeerAnswer(
+        now, aPeer, aReply.storeReachable ? std::optional(aReply.answerAge) : std::nullopt))
+    ReportStoreReachable("store reached through another vm");
+  if (storeFollowing_.IsServedByFollower(now))
+    ReportStateSource(aFrom.Value());
+  for (const StateReply::Kind& kind : aReply.kinds) {
+    if (kind.complete) {
+      keeper_.OnSnapshot(now, kind.kind, kind.set);
+      viewChanged_ = true;
+    } else {
+      std::vector<ObjectChange> changes;
+      for (const auto& [name, content] : kind.set.objects)
+        changes.push_back({ .name = name, .content = content });
+      for (const std::string& name : kind.removed)
+        changes.push_back({ .name = name });
+      keeper_.OnChanges(now, kind.kind, kind.set.revision, changes);
+      viewChanged_ = viewChanged_ || !changes.empty();
+    }
+    Log(LogLevel::Debug,
+        kComponent,
+        "state from another vm",
+        { { "vm", aFrom.Value() },
+          { "kind", std::string(ToString(kind.kind)) },
+          { "revision", std::to_string(kind.set.revision) },
+          { "whole", kind.complete ? "1" : "0" } });
+  }
+}
+
+} // namespace dfm
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -1,9 +1,4 @@
-#include "dragonflymoor/Gateway/Gateway.h"
-
-#include "dragonflymoor/Gateway/CallerFront.h"
-#include "dragonflymoor/Gateway/FleetSync.h"
-#include "dragonflymoor/Gateway/LoadExchange.h"
-#include "dragonflymoor/Gateway/PageServer.h"
+#include "GatewayImpl.h"
 #include "dragonflymoor/Gateway/Tasks.h"
 #include "dragonflymoor/Net/Clock.h"
 #include "dragonflymoor/Net/Listen.h"
@@ -12,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <random>
@@ -38,20 +32,6 @@
 /// How often the settings are read again, because their file may change without a SIGHUP.
 constexpr Duration kSettingsPollPeriod = 2s;
 
-/// Delays from the beginning of a graceful stop until this VM closes idle connections and until it
-/// stops accepting connections. By then callers know that this VM is leaving, as the directory
-/// answers that they hold have expired.
-constexpr Duration kCloseIdleDelay = 2s;
-constexpr Duration kStopAcceptingDelay = 2500ms;
-
-/// Delay from the beginning of a graceful stop until this VM passes no more requests on. Only those
-/// that are sent within this time may be cut off by the end of the stop.
-constexpr Duration kLastStartDelay = 3s;
-
-/// Part of the stop time that is reserved for the exit itself, because the platform kills the
-/// process at the end of the stop time.
-constexpr Duration kExitMargin = 400ms;
-
 constexpr size_t kMaxDirectoryAnswers = 64;
 
 /// Pause after a failed accept, so that a lasting error causes no busy loop.
@@ -98,59 +78,6 @@
 
 } // namespace
 
-struct Gateway::Impl
-{
-  explicit Impl(GatewayOptions aOptions);
-
-  /// Binds all ports. Returns a finding for each port that cannot be bound.
-  Findings BindPorts();
-  DispatcherHooks MakeDispatcherHooks();
-  void OnFleetView(std::shared_ptr<const FleetView> aView);
-  void OnPeerMessage(const PeerEnvelope& aEnvelope);
-  void OnInstanceStatement(const InstanceRun& aRun, const InstanceStatement& aStatement);
-  Page MakeDirectoryPage(std::string_view aTarget);
-  Page MakeReadinessPage(std::string_view aTarget) const;
-  Page MakeOperatorPage(std::string_view aTarget) const;
-  PageServer::UnframedHook MakeUnframedHook()
-  {
-    return [this](std::string_view aFault) { metrics.CountKind("unframed-pages", aFault); };
-  }
-  bool IsReady() const { return fleetView->routes != nullptr && !stopBeginTime; }
-  asio::awaitable<void> AcceptCallers();
-  asio::awaitable<void> CheckInstanceHealth(Instance aInstance, std::string aHealthPath);
-  asio::awaitable<void> RunPeriodicTasks();
-  Duration TimeUntilNextTick(TimePoint aNow) const;
-  asio::awaitable<void> HandleSignals();
-  /// Reads the settings again. Invalid settings are logged and the previous ones remain in force.
-  void ReloadSettings(std::string_view aCause);
-  void BeginStop();
-  /// Takes over the connections that wait to be accepted and closes the listening port.
-  void StopAccepting();
-  /// Runs the steps of a graceful stop that are due. Returns whether the stop has ended.
-  bool ContinueStop(TimePoint aNow);
-
-  GatewayOptions options;
-  SteeringSettings settings;
-  Metrics metrics;
-  Random random;
-  std::shared_ptr<const FleetView> fleetView = std::make_shared<FleetView>();
-  asio::io_context trafficContext{ 1 };
-  asio::io_context controlContext{ 1 };
-  std::shared_ptr<MemoryBudget> memory;
-  Dispatcher dispatcher;
-  InstanceClient instanceClient;
-  CallerFront callerFront;
-  LoadExchange loadExchange;
-  FleetSync fleetSync;
-  tcp::acceptor callerAcceptor;
-  std::shared_ptr<PageServer> readinessServer;
-  std::shared_ptr<PageServer> directoryServer;
-  std::shared_ptr<PageServer> operatorServer;
-  asio::signal_set signals;
-  std::optional<TimePoint> stopBeginTime; ///< Set once a graceful stop has begun.
-  bool idleConnectionsClosed = false;
-};
-
 Gateway::Impl::Impl(GatewayOptions aOptions)
   : options(std::move(aOptions))
   , settings(options.settings)
@@ -431,101 +358,6 @@
   }
 }
 
-asio::awaitable<void>
-Gateway::Impl::HandleSignals()
-{
-  for (;;) {
-    auto [error, signal] = co_await signals.async_wait(kAwaitTuple);
-    if (error)
-      co_return;
-    if (signal == SIGHUP)
-      ReloadSettings("SIGHUP");
-    else if (!stopBeginTime)
-      BeginStop();
-  }
-}
-
-void
-Gateway::Impl::ReloadSettings(std::string_view aCause)
-{
-  const auto newSettings = options.readSettings();
-  if (!newSettings) {
-    Log(LogLevel::Error,
-        kComponent,
-        "settings rejected",
-        { { "cause", std::string(aCause) }, { "findings", FormatFindings(newSettings.error()) } });
-    return;
-  }
-  if (*newSettings == options.settings) {
-    if (aCause == "SIGHUP")
-      Log(LogLevel::Info, kComponent, "settings unchanged", { { "cause", std::string(aCause) } });
-    return;
-  }
-  options.settings = *newSettings;
-  // Only these two settings take effect while the process runs. Addresses and identity remain
-  // fixed for its lifetime.
-  settings.stopTime = newSettings->stopTime;
-  settings.directoryTtl = newSettings->directoryTtl;
-  Log(LogLevel::Info, kComponent, "settings read again", { { "cause", std::string(aCause) } });
-}
-
-void
-Gateway::Impl::BeginStop()
-{
-  stopBeginTime = ReadClocks().monotonic;
-  Log(LogLevel::Info,
-      kComponent,
-      "graceful stop begins",
-      { { "unanswered", std::to_string(callerFront.UnansweredRequestCount()) } });
-  callerFront.BeginStop();
-  dispatcher.BeginStop({ .lastStart = *stopBeginTime + kLastStartDelay,
-                         .end = *stopBeginTime + settings.stopTime - kExitMargin });
-  asio::post(controlContext, [this] { fleetSync.BeginStop(); });
-}
-
-void
-Gateway::Impl::StopAccepting()
-{
-  error_code error;
-  if (!callerAcceptor.is_open())
-    return;
-  // Connections that the system has accepted already would be reset.
-  callerAcceptor.non_blocking(true, error);
-  while (!error) {
-    tcp::socket socket(trafficContext);
-    callerAcceptor.accept(socket, error);
-    if (!error)
-      callerFront.Serve(std::move(socket));
-  }
-  callerAcceptor.close(error);
-}
-
-bool
-Gateway::Impl::ContinueStop(TimePoint aNow)
-{
-  const Duration stopDuration = aNow - *stopBeginTime;
-  if (stopDuration >= kCloseIdleDelay && !idleConnectionsClosed) {
-    idleConnectionsClosed = true;
-    callerFront.CloseIdleConnections(aNow);
-  }
-  if (stopDuration < kStopAcceptingDelay)
-    return false;
-  StopAccepting();
-  callerFront.CloseIdleConnections(aNow);
-  if (callerFront.ConnectionCount() > 0 && stopDuration < settings.stopTime - kExitMargin)
-    return false;
-  Log(LogLevel::Info,
-      kComponent,
-      "graceful stop has ended",
-      { { "unanswered", std::to_string(callerFront.UnansweredRequestCount()) } });
-  asio::post(controlContext, [this] {
-    fleetSync.Leave();
-    controlContext.stop();
-  });
-  trafficContext.stop();
-  return true;
-}
-
 Gateway::Gateway(std::unique_ptr<Impl> aImpl)
   : impl_(std::move(aImpl))
 {
--- a/lib/Steering/ConcurrencyLimit.cpp
+++ b/lib/Steering/ConcurrencyLimit.cpp
@@ -19,8 +19,9 @@
 /// explained by an object that was wrongly taken for warm.
 constexpr double kMaxColdFactor = 3.5;
 
-/// Weights of an answer in the measured slowness. A single cold object that was taken for warm
-/// stays close to the tolerance; an answer that cannot be one, or that is faster, counts for half.
+/// Weights of an answer in the moving mean of the slowness. A single cold object that was taken for
+/// warm stays close to the tolerance; an answer that cannot be one, or that is faster, counts for
+/// half.
 constexpr double kDoubtfulWeight = 0.2;
 constexpr double kClearWeight = 0.5;
 
--- a/unittests/Steering/FairSharesTest.cpp
+++ b/unittests/Steering/FairSharesTest.cpp
@@ -31,6 +31,7 @@
   for (const auto& row : kRows) {
     FairShares shares;
     std::vector<Workspace> workspaces;
+    workspaces.reserve(row.size());
     std::vector<double> waiting(row.size());
     std::vector<double> served(row.size());
     for (const Demand& demand : row)
