Log failed state requests and where a manifest came from

The logs could not tell a VM whose state requests fail from one that takes over an old manifest: failures were only counted, and the replies logged at a level that is off. Both now have a line with the time that the request took.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -78,7 +78,11 @@
   StateReply MakeStateReply(const StateRequest& aRequest);
   /// PackObjects of the present state, kept until the state changes.
   const std::string& PackedSnapshot(ObjectKind aKind);
-  void OnStateReply(const Endpoint& aPeer, const VmId& aFrom, const StateReply& aReply);
+  /// aElapsed is the time from the request to the whole reply.
+  void OnStateReply(const Endpoint& aPeer,
+                    const VmId& aFrom,
+                    const StateReply& aReply,
+                    Duration aElapsed);
   void StartMembership();
   /// Passes registeredVms_ to membership_ as candidates.
   void PassRegisteredVmsToMembership();
--- a/lib/Gateway/FleetPeers.cpp
+++ b/lib/Gateway/FleetPeers.cpp
@@ -70,14 +70,20 @@
   }
   for (size_t i = 0; i < kObjectKindCount; ++i)
     request.revisions[i] = keeper_.Snapshot(static_cast<ObjectKind>(i)).revision;
+  const TimePoint askedAt = ReadClocks().monotonic;
   const auto envelope = co_await stateClient_.Request(aPeer, EncodePeer(options_.self.id, request));
+  const Duration elapsed = ReadClocks().monotonic - askedAt;
   if (!envelope) {
     metrics_.Count("peer-state-requests-failed", Reason::PeerUnreachable);
+    Log(LogLevel::Info,
+        kComponent,
+        "state request failed",
+        { { "peer", ToText(aPeer) }, { "after_ms", std::to_string(elapsed / 1ms) } });
     storeFollowing_.OnPeerRequestFailed(ReadClocks().monotonic, aPeer);
     co_return false;
   }
   const auto& reply = std::get<StateReply>(envelope->message);
-  OnStateReply(aPeer, envelope->sender, reply);
+  OnStateReply(aPeer, envelope->sender, reply, elapsed);
   co_return !reply.delegates.empty() || storeFollowing_.MustAskAnotherPeer();
 }
 
@@ -178,7 +184,10 @@
 }
 
 void
-FleetSync::OnStateReply(const Endpoint& aPeer, const VmId& aFrom, const StateReply& aReply)
+FleetSync::OnStateReply(const Endpoint& aPeer,
+                        const VmId& aFrom,
+                        const StateReply& aReply,
+                        Duration aElapsed)
 {
   const TimePoint now = ReadClocks().monotonic;
   if (!aReply.delegates.empty()) {
@@ -206,13 +215,17 @@
       keeper_.OnChanges(now, kind.kind, kind.set.revision, changes);
       viewChanged_ = viewChanged_ || !changes.empty();
     }
-    Log(LogLevel::Debug,
+    // The revision alone moves with each change in the store, whatever its kind.
+    const bool hasChanges = kind.complete || !kind.set.objects.empty() || !kind.removed.empty();
+    Log(kind.kind == ObjectKind::Manifest && hasChanges ? LogLevel::Info : LogLevel::Debug,
         kComponent,
         "state from another vm",
         { { "vm", aFrom.Value() },
           { "kind", std::string(ToString(kind.kind)) },
           { "revision", std::to_string(kind.set.revision) },
-          { "whole", kind.complete ? "1" : "0" } });
+          { "whole", kind.complete ? "1" : "0" },
+          { "elapsed_ms", std::to_string(aElapsed / 1ms) },
+          { "store_answer_age_ms", std::to_string(aReply.answerAge / 1ms) } });
   }
 }
 
