Send changes of the fleet state compressed, and only when they change it

Callers were served by the previous manifest for seconds after the operator's change had been confirmed, while some VMs already served by the new one.

Cause: a VM sent each change as plain text to each VM that asks it. A manifest of 1,700 routes is 343,520 bytes; 34 copies take 9 s on a link of 10 Mbit/s. A change that came a second time from another source counted as new and was sent to all once more.

Changed objects of 4 KB or more are now packed like the whole state, once for all VMs that ask with the same knowledge, and a change that changes nothing is not passed on. The packed state is kept until the next change instead of the next revision, which moves with each object in the store.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -78,6 +78,9 @@
   StateReply MakeStateReply(const StateRequest& aRequest);
   /// PackObjects of the present state, kept until the state changes.
   const std::string& PackedSnapshot(ObjectKind aKind);
+  /// Packs the objects of aAnswer, which are the present state of some, if they are large. VMs that
+  /// ask with the same revision get the same bytes.
+  void PackChanges(StateReply::Kind& aAnswer);
   /// aElapsed is the time from the request to the whole reply.
   void OnStateReply(const Endpoint& aPeer,
                     const VmId& aFrom,
@@ -99,10 +102,12 @@
   StateDelegation delegation_;
   struct PackedState
   {
-    uint64_t revision = 0;
+    uint64_t changeCount = 0; ///< Of the keeper, when it was packed.
+    std::vector<std::string> names;
     std::string bytes;
   };
-  std::array<PackedState, kObjectKindCount> packedStates_;
+  std::array<PackedState, kObjectKindCount> packedSnapshots_;
+  std::array<PackedState, kObjectKindCount> packedChanges_;
   Random random_;
   DatagramSocket datagrams_;
   StateClient stateClient_;
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -106,6 +106,12 @@
   /// What changed in one kind after aRevision, the latest state of each object once; empty when
   /// that is no longer known.
   std::optional<std::vector<ObjectChange>> ChangesSince(ObjectKind aKind, uint64_t aRevision) const;
+  /// Number of changes of one kind so far. Calls between which it stays the same see the same
+  /// objects, also when the revision moves.
+  uint64_t ChangeCount(ObjectKind aKind) const
+  {
+    return histories_[static_cast<size_t>(aKind)].changeCount;
+  }
   const ObjectSet& Snapshot(ObjectKind aKind) const
   {
     return snapshots_[static_cast<size_t>(aKind)];
@@ -127,6 +133,7 @@
   struct History
   {
     uint64_t completeSince = 0; ///< Changes after this revision are complete.
+    uint64_t changeCount = 0;
     std::deque<std::pair<uint64_t, std::string>> names;
   };
 
--- a/lib/Gateway/FleetPeers.cpp
+++ b/lib/Gateway/FleetPeers.cpp
@@ -19,6 +19,9 @@
 /// Wait before this VM asks a VM that another one named.
 constexpr Duration kRedirectWait = 10ms;
 
+/// Objects of less than this are sent as they are.
+constexpr size_t kMinPackedBytes = 4096;
+
 /// Wait after a failed accept, so that a lasting error causes no busy loop.
 constexpr Duration kAcceptPause = 100ms;
 
@@ -138,13 +141,33 @@
 const std::string&
 FleetSync::PackedSnapshot(ObjectKind aKind)
 {
-  const ObjectSet& set = keeper_.Snapshot(aKind);
-  PackedState& packed = packedStates_[static_cast<size_t>(aKind)];
-  if (packed.bytes.empty() || packed.revision != set.revision)
-    packed = { .revision = set.revision, .bytes = PackObjects(set.objects) };
+  const uint64_t changeCount = keeper_.ChangeCount(aKind);
+  PackedState& packed = packedSnapshots_[static_cast<size_t>(aKind)];
+  if (packed.bytes.empty() || packed.changeCount != changeCount)
+    packed = { .changeCount = changeCount, .bytes = PackObjects(keeper_.Snapshot(aKind).objects) };
   return packed.bytes;
 }
 
+void
+FleetSync::PackChanges(StateReply::Kind& aAnswer)
+{
+  size_t bytes = 0;
+  std::vector<std::string> names;
+  for (const auto& [name, content] : aAnswer.set.objects) {
+    bytes += content.size();
+    names.push_back(name);
+  }
+  if (bytes < kMinPackedBytes)
+    return;
+  const uint64_t changeCount = keeper_.ChangeCount(aAnswer.kind);
+  PackedState& packed = packedChanges_[static_cast<size_t>(aAnswer.kind)];
+  if (packed.changeCount != changeCount || packed.names != names)
+    packed = { .changeCount = changeCount,
+               .names = std::move(names),
+               .bytes = PackObjects(aAnswer.set.objects) };
+  aAnswer.packed = packed.bytes;
+}
+
 StateReply
 FleetSync::MakeStateReply(const StateRequest& aRequest)
 {
@@ -178,6 +201,7 @@
       else
         answer.removed.push_back(change.name);
     }
+    PackChanges(answer);
     reply.kinds.push_back(std::move(answer));
   }
   return reply;
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -24,6 +24,21 @@
 /// of a service brings.
 constexpr size_t kMaxHistoryEntries = 1024;
 
+/// Applies aChange to aSet. Returns whether that changed anything.
+bool
+UpdateObject(ObjectSet& aSet, const ObjectChange& aChange)
+{
+  if (!aChange.content)
+    return aSet.objects.erase(aChange.name) > 0;
+  const auto [object, isNew] = aSet.objects.try_emplace(aChange.name, *aChange.content);
+  if (isNew)
+    return true;
+  if (object->second == *aChange.content)
+    return false;
+  object->second = *aChange.content;
+  return true;
+}
+
 } // namespace
 
 std::string_view
@@ -82,15 +97,14 @@
     history.completeSince = aRevision;
   set.revision = aRevision;
   for (const ObjectChange& change : aChanges) {
-    history.names.emplace_back(aRevision, change.name);
+    if (UpdateObject(set, change)) {
+      ++history.changeCount;
+      history.names.emplace_back(aRevision, change.name);
+    }
     if (history.names.size() > kMaxHistoryEntries) {
       history.completeSince = history.names.front().first;
       history.names.pop_front();
     }
-    if (change.content)
-      set.objects[change.name] = *change.content;
-    else
-      set.objects.erase(change.name);
     ApplyChange(aNow, aKind, change);
   }
 }
