Limit the silence of an answer of the store instead of its whole time

Callers of all VMs of a region could be served by the previous manifest without end after the operator's change had been confirmed.

An answer had to arrive within 1 s, whatever its size. A manifest of 344 KB needs 0.3 s of an idle link of 10 Mbit/s, and more than 1 s of a busy one; the VM that follows the store for its region then asks for it again and again.

The header of the answer must arrive within the same times; its body may take as long as its size needs (TransferDeadline, now shared with the state requests). StateTransfer/ReadsAManifestThatTakesLongerThanTheTimeoutOfACall failed before (the VM did not become ready within 30 s) and passes. It also adds the stand-ins that the framing tests need.

--- a/include/dragonflymoor/Gateway/StateClient.h
+++ b/include/dragonflymoor/Gateway/StateClient.h
@@ -3,7 +3,7 @@
 
 #include "dragonflymoor/Net/FrameConnection.h"
 #include "dragonflymoor/Steering/PeerMessages.h"
-#include "dragonflymoor/Support/Time.h"
+#include "dragonflymoor/Support/TransferDeadline.h"
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <optional>
@@ -47,17 +47,15 @@
     std::shared_ptr<FrameConnection> connection; ///< Null once it is closed.
     std::optional<PeerEnvelope> reply;
     bool waiting = false;
-    TimePoint requestedAt;
-    TimePoint lastProgress;      ///< When the request was sent, or the last bytes arrived.
-    size_t receivedBytes = 0;    ///< Since the request.
-    asio::steady_timer answered; ///< Cancelled when the wait for the reply ends early.
+    std::optional<TransferDeadline> deadline; ///< Of the present request.
+    asio::steady_timer answered;              ///< Cancelled when the wait for the reply ends early.
   };
 
   asio::awaitable<bool> Connect(Endpoint aPeer);
   /// Sends aRequest over the link and waits for the reply, until nothing has arrived for aSilence
   /// or the reply is slower than any link. Returns nothing without a reply; the link is closed
   /// then, so that a late reply is never taken for that of another request.
-  asio::awaitable<std::optional<PeerEnvelope>> Exchange(std::string aRequest, Duration aSilence);
+  asio::awaitable<std::optional<PeerEnvelope>> Exchange(std::string aRequest, Duration aMaxSilence);
   void Close();
 
   asio::io_context& context_;
--- a/lib/Gateway/StateClient.cpp
+++ b/lib/Gateway/StateClient.cpp
@@ -1,7 +1,6 @@
 #include "dragonflymoor/Gateway/StateClient.h"
 
 #include "dragonflymoor/Net/Clock.h"
-#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -17,10 +16,6 @@
 /// A kept connection may be dead without notice, so that less time is left for a new one.
 constexpr Duration kMaxSilenceOfKeptConnection = 300ms;
 
-/// Lowest rate of a reply in bytes a second. A link of 10 Mbit/s on which 34 VMs receive the state
-/// gives each of them four times as much.
-constexpr double kMinRate = 8192;
-
 } // namespace
 
 asio::awaitable<std::optional<tcp::socket>>
@@ -92,8 +87,8 @@
         },
       .received =
         [link](size_t aBytes) {
-          link->lastProgress = ReadClocks().monotonic;
-          link->receivedBytes += aBytes;
+          if (link->deadline)
+            link->deadline->OnBytes(ReadClocks().monotonic, aBytes);
         },
     });
   link->connection->Start();
@@ -102,22 +97,18 @@
 }
 
 asio::awaitable<std::optional<PeerEnvelope>>
-StateClient::Exchange(std::string aRequest, Duration aSilence)
+StateClient::Exchange(std::string aRequest, Duration aMaxSilence)
 {
   const std::shared_ptr<Link> link = link_;
   link->reply.reset();
   link->waiting = true;
-  link->receivedBytes = 0;
-  link->requestedAt = ReadClocks().monotonic;
-  link->lastProgress = link->requestedAt;
+  link->deadline.emplace(ReadClocks().monotonic, aMaxSilence);
   if (link->connection != nullptr && link->connection->Send({ .payload = std::move(aRequest) })) {
-    Duration remaining = aSilence;
-    while (!link->reply && link->connection != nullptr && remaining > Duration{}) {
+    for (Duration remaining = aMaxSilence;
+         !link->reply && link->connection != nullptr && remaining > Duration{};
+         remaining = link->deadline->Remaining(ReadClocks().monotonic)) {
       link->answered.expires_after(remaining);
       co_await link->answered.async_wait(kAwaitTuple);
-      const Duration expected = FromSeconds(static_cast<double>(link->receivedBytes) / kMinRate);
-      remaining = std::min(link->lastProgress, link->requestedAt + expected) + aSilence -
-                  ReadClocks().monotonic;
     }
   }
   if (!link->reply)
--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <future>
 #include <sstream>
+#include <tuple>
 
 namespace dfm::test {
 
@@ -155,6 +156,20 @@
   for (;;) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(boost::none); // Callers' bodies are larger than Beast's default of 1 MB.
+    auto [headError, headBytes] =
+      co_await http::async_read_header(aSession->socket, aSession->buffer, parser, kAwaitTuple);
+    if (headError)
+      co_return;
+    EarlyHandler earlyHandler;
+    {
+      const std::scoped_lock lock(earlyHandlerMutex_);
+      earlyHandler = earlyHandler_;
+    }
+    auto earlyAnswer = earlyHandler ? earlyHandler(parser.get()) : std::nullopt;
+    if (earlyAnswer) {
+      co_await AnswerEarly(aSession, std::move(*earlyAnswer));
+      co_return;
+    }
     auto [readError, bytesRead] =
       co_await http::async_read(aSession->socket, aSession->buffer, parser, kAwaitTuple);
     if (readError)
@@ -191,8 +206,12 @@
       bytes.resize(std::min(bytes.size(), reaction.closeAfterBytes));
     bytes.insert(0, reaction.bytesBeforeAnswer);
     bytes += reaction.bytesAfterAnswer;
-    auto [writeError, bytesWritten] =
-      co_await asio::async_write(aSession->socket, asio::buffer(bytes), kAwaitTuple);
+    error_code writeError;
+    if (reaction.bytesPerSecond > 0)
+      writeError = co_await SendPaced(aSession, std::move(bytes), reaction.bytesPerSecond);
+    else
+      std::tie(writeError, std::ignore) =
+        co_await asio::async_write(aSession->socket, asio::buffer(bytes), kAwaitTuple);
     if (writeError || reaction.closeAfterBytes > 0) {
       aSession->socket.close();
       co_return;
@@ -204,6 +223,55 @@
   }
 }
 
+void
+StandInServer::SetEarlyHandler(EarlyHandler aHandler)
+{
+  const std::scoped_lock lock(earlyHandlerMutex_);
+  earlyHandler_ = std::move(aHandler);
+}
+
+asio::awaitable<error_code>
+StandInServer::SendPaced(std::shared_ptr<Session> aSession,
+                         std::string aBytes,
+                         size_t aBytesPerSecond)
+{
+  constexpr Duration kPeriod = 10ms;
+  const size_t pieceBytes = std::max<size_t>(1, aBytesPerSecond / (1s / kPeriod));
+  // What the kernel buffers has not passed the link.
+  aSession->socket.set_option(asio::socket_base::send_buffer_size(static_cast<int>(pieceBytes)));
+  for (size_t at = 0; at < aBytes.size(); at += pieceBytes) {
+    const size_t piece = std::min(pieceBytes, aBytes.size() - at);
+    auto [error, written] = co_await asio::async_write(
+      aSession->socket, asio::buffer(aBytes.data() + at, piece), kAwaitTuple);
+    if (error)
+      co_return error;
+    asio::steady_timer timer(context_, kPeriod);
+    co_await timer.async_wait(kAwaitTuple);
+  }
+  co_return error_code();
+}
+
+asio::awaitable<void>
+StandInServer::AnswerEarly(std::shared_ptr<Session> aSession, EarlyAnswer aAnswer)
+{
+  tcp::socket& socket = aSession->socket;
+  co_await asio::async_write(socket, asio::buffer(aAnswer.bytes), kAwaitTuple);
+  asio::steady_timer timer(context_, aAnswer.delay);
+  co_await timer.async_wait(kAwaitTuple);
+  error_code error;
+  if (aAnswer.end == EarlyAnswer::End::Reset) {
+    socket.set_option(asio::socket_base::linger(true, 0), error);
+  } else if (aAnswer.end == EarlyAnswer::End::Clean) {
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    std::vector<char> bytes(64UL * 1024);
+    while (!error) {
+      auto [readError, count] = co_await socket.async_read_some(asio::buffer(bytes), kAwaitTuple);
+      error = readError;
+    }
+  }
+  socket.close(error);
+}
+
 asio::awaitable<void>
 StandInServer::SendRepeatedly(std::shared_ptr<Session> aSession, std::string aBytes)
 {
@@ -354,7 +422,8 @@
   const std::scoped_lock lock(mutex_);
   if (aRequest.method() != http::verb::get)
     return { .answer = AnswerWrite(aRequest, pathSegments) };
-  Reaction reaction{ .answer = AnswerGet(pathSegments.at(1), query) };
+  Reaction reaction{ .answer = AnswerGet(pathSegments.at(1), query),
+                     .bytesPerSecond = bytesPerSecond_ };
   for (size_t i = 0; i < specBytes_.size(); ++i) {
     const std::string placeholder = fmt::format("\"bytes-{}\"", i);
     std::string& body = reaction.answer.body();
--- a/unittests/Platform/StandIns.h
+++ b/unittests/Platform/StandIns.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,12 +36,28 @@
   /// Repeated after all other bytes until the peer closes the connection, up to
   /// StandInServer::kMaxRepeatedBytes.
   std::string repeatedBytes;
+  size_t bytesPerSecond = 0;        ///< If not 0, the rate at which the answer is sent.
   bool neverAnswers = false;        ///< Keeps the connection open and sends nothing.
   bool closesWithoutAnswer = false; ///< Closes the connection without sending any bytes.
   size_t closeAfterBytes =
     0; ///< If not 0, closes the connection after this many bytes of the answer.
 };
 
+/// An answer to a request whose body has not been read, and how its connection ends.
+struct EarlyAnswer
+{
+  enum class End
+  {
+    Clean, ///< Ends the sending direction and reads on.
+    Reset,
+    Close, ///< Closes the socket with the unread body in it.
+  };
+
+  std::string bytes;
+  Duration delay{}; ///< Time between the answer and the end of the connection.
+  End end = End::Clean;
+};
+
 /// Reserves a free port of the loopback address for a server that binds it by its number, perhaps
 /// more than once. While the reservation lives, the system gives the port to no other socket.
 class PortReservation
@@ -60,6 +77,9 @@
 {
 public:
   using Handler = std::function<Reaction(const Request&)>;
+  /// Called with the header of a request before its body is read. Without a result the request is
+  /// read whole and passed to the Handler.
+  using EarlyHandler = std::function<std::optional<EarlyAnswer>(const http::request_header<>&)>;
 
   /// Bounds what a peer that reads everything has to buffer.
   static constexpr size_t kMaxRepeatedBytes = 200UL * 1024 * 1024;
@@ -68,6 +88,7 @@
   ~StandInServer();
 
   Endpoint Address() const { return port_.Address(); }
+  void SetEarlyHandler(EarlyHandler aHandler);
   /// Stops listening and resets all connections; Open listens on the same port again.
   void Close();
   void Open();
@@ -82,10 +103,17 @@
 
   asio::awaitable<void> AcceptConnections();
   asio::awaitable<void> ServeConnection(std::shared_ptr<Session> aSession);
+  /// Sends aBytes in pieces, at aBytesPerSecond.
+  asio::awaitable<error_code> SendPaced(std::shared_ptr<Session> aSession,
+                                        std::string aBytes,
+                                        size_t aBytesPerSecond);
+  asio::awaitable<void> AnswerEarly(std::shared_ptr<Session> aSession, EarlyAnswer aAnswer);
   /// Sends aBytes again and again until the peer closes the connection.
   asio::awaitable<void> SendRepeatedly(std::shared_ptr<Session> aSession, std::string aBytes);
 
   Handler handler_;
+  std::mutex earlyHandlerMutex_;
+  EarlyHandler earlyHandler_;
   asio::io_context context_{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> workGuard_;
   PortReservation port_;
@@ -118,6 +146,8 @@
   /// Drops all events so far; a watch that starts at an earlier revision then gets status 410.
   void DropHistory();
   void SetMode(Mode aMode) { mode_ = aMode; }
+  /// Sends answers at this rate; 0 stands for no limit.
+  void LimitRate(size_t aBytesPerSecond) { bytesPerSecond_ = aBytesPerSecond; }
   /// Closes the connection of each watch that has waited for this long without an event.
   void CutWatchesAfter(Duration aWait) { watchLimit_ = aWait; }
   bool Contains(const std::string& aKind, const std::string& aName);
@@ -152,6 +182,7 @@
   std::vector<Event> events_;
   std::atomic<Mode> mode_ = Mode::Answering;
   std::atomic<Duration> watchLimit_{};
+  std::atomic<size_t> bytesPerSecond_ = 0;
   std::atomic<unsigned> callCount_ = 0;
   StandInServer server_;
 };
--- a/unittests/Platform/StateTransferTest.cpp
+++ b/unittests/Platform/StateTransferTest.cpp
@@ -150,6 +150,22 @@
   }
 }
 
+/// Guards against VMs that keep serving by the previous manifest: an answer of the store that took
+/// longer than the time-out was given up, also by the VM that follows the store for the others.
+Test(StateTransfer, ReadsAManifestThatTakesLongerThanTheTimeoutOfACall)
+{
+  GatewayFixture fixture;
+  fixture.Store().LimitRate(kLinkBytesPerSecond / 8);
+  fixture.Store().Put("config", "main", LargeManifest(7));
+  fixture.Start(); // Reads the list.
+  fixture.Store().Put("config", "main", LargeManifest(8));
+  const bool inForce = GatewayFixture::WaitUntil([&] { // Reads the watch.
+    const auto metrics = fixture.Get(fixture.Settings().operators, "/metrics");
+    return metrics && metrics->body().find("manifest_version 8") != std::string::npos;
+  });
+  cr_assert(inForce);
+}
+
 /// Sends aRequest to the VM as another VM does and returns the payload of the reply.
 std::string
 RequestState(const Endpoint& aVm, const StateRequest& aRequest)
