Reject answers whose status is not from 100 to 599

Callers got an instance's answer with status 000 as an answer.

Cause: Beast's parser takes any three digits as a status, and nothing checked them afterwards. An answer with a length was broken only by chance: its status class was none of those that are delivered.

The check is in the parser that all answers pass, so that none reaches a decision. Field names with blanks or control bytes, and a blank before the colon, also in trailers, were rejected before; the tests now say so.

--- a/include/dragonflymoor/Net/Framing.h
+++ b/include/dragonflymoor/Net/Framing.h
@@ -23,6 +23,7 @@
   BadExtension,       ///< A chunk extension contains a control character.
   UnexpectedBody,     ///< An answer whose status allows no body states one.
   ProtocolSwitch,     ///< Status 101: what follows is not HTTP. No program here asks for it.
+  InvalidStatus,      ///< The status of an answer is not from 100 to 599.
 };
 
 /// Safe to call from any thread.
--- a/lib/Net/Framing.cpp
+++ b/lib/Net/Framing.cpp
@@ -35,6 +35,8 @@
         return "body in an answer whose status allows none";
       case FramingError::ProtocolSwitch:
         return "unexpected switch of protocols";
+    case FramingError::InvalidStatus:
+      return "invalid status";
     }
     return "unknown";
   }
@@ -175,6 +177,8 @@
 CheckAnswerFraming(const http::response_header<>& aHeader)
 {
   const unsigned status = aHeader.result_int();
+  if (status < 100 || status > 599)
+    return FramingError::InvalidStatus;
   if (status == 101)
     return FramingError::ProtocolSwitch;
   const Framing framing = ReadFraming(aHeader, aHeader.version());
@@ -223,7 +227,8 @@
     return "chunk";
   if (aError == http::error::buffer_overflow)
     return "no-end";
-  if (aError == FramingError::UnexpectedBody || aError == FramingError::ProtocolSwitch)
+  if (aError == FramingError::UnexpectedBody || aError == FramingError::ProtocolSwitch ||
+      aError == FramingError::InvalidStatus)
     return "status";
   const bool coding =
     aError.category() == kCategory || aError == http::error::bad_transfer_encoding;
--- a/unittests/Net/FramingTest.cpp
+++ b/unittests/Net/FramingTest.cpp
@@ -115,6 +115,67 @@
   }
 }
 
+/// Guards against answers of a faulty server that pass as answers, with a status that does not
+/// exist or a field whose name another parser reads differently.
+Test(Framing, RejectsAnswersThatAreNotHttp)
+{
+  using namespace std::string_literals;
+  struct Case
+  {
+    std::string head; ///< Status line and fields.
+    std::string body;
+    bool valid = false;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string empty = "Content-Length: 0\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const Case cases[] = {
+    { ok + empty, "", true },
+    { "HTTP/1.1 599 Odd\r\n" + empty, "", true },
+    { "HTTP/1.1 000 Odd\r\n" + empty, "" },
+    { "HTTP/1.1 000 Odd\r\n", "part" },
+    { "HTTP/1.1 099 Odd\r\n" + empty, "" },
+    { "HTTP/1.1 600 Odd\r\n" + empty, "" },
+    { "HTTP/1.1 999 Odd\r\n" + empty, "" },
+    { "HTTP/1.1 20 Odd\r\n" + empty, "" },
+    { "HTTP/1.1 0200 Odd\r\n" + empty, "" },
+    { "HTTP/1.1 2xx Odd\r\n" + empty, "" },
+    { ok + "X A: b\r\n" + empty, "" },
+    { ok + "X\tA: b\r\n" + empty, "" },
+    { ok + "X\x01: b\r\n" + empty, "" },
+    { ok + "X\0: b\r\n"s + empty, "" },
+    { ok + "X\x7f: b\r\n" + empty, "" },
+    { ok + ": b\r\n" + empty, "" },
+    { ok + "X : b\r\n" + empty, "" },
+    { ok + "Content-Length : 0\r\n", "" },
+    { ok + "Transfer-Encoding : chunked\r\n", "0\r\n\r\n" },
+    { ok + "X: a\0b\r\n"s + empty, "" },
+    { ok + chunked, "0\r\nX: b\r\n\r\n", true },
+    { ok + chunked, "0\r\nX A: b\r\n\r\n" },
+    { ok + chunked, "0\r\nX : b\r\n\r\n" },
+  };
+  for (const Case& testCase : cases) {
+    const std::string bytes = testCase.head + "\r\n" + testCase.body;
+    for (const size_t step : { size_t{ 1 }, size_t{ 7 }, bytes.size() }) {
+      FramedAnswerParser<http::string_body> parser;
+      parser.eager(true);
+      error_code error;
+      size_t consumed = 0;
+      for (size_t end = 0; end < bytes.size() && !parser.is_done();) {
+        end = std::min(bytes.size(), end + step);
+        consumed += parser.put(asio::buffer(bytes.data() + consumed, end - consumed), error);
+        if (error && error != http::error::need_more)
+          break;
+      }
+      cr_assert((parser.is_done() && !error) == testCase.valid,
+                "%s, step %zu: %s",
+                testCase.head.c_str(),
+                step,
+                error.message().c_str());
+    }
+  }
+}
+
 /// Guards against hidden requests that the table does not list: pieces of other sizes, and a
 /// lenient parser in front of a VM or behind it, must see the same requests.
 Test(Framing, NoMutationSplitsParsers)
--- a/unittests/Platform/FramingTest.cpp
+++ b/unittests/Platform/FramingTest.cpp
@@ -186,6 +186,9 @@
     { "coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", kCut },
     { "length with status 204", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n", kHidden },
     { "other protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n", kHidden },
+    { "blank in a name", "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 0\r\n", kHidden },
+    { "blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n", kHidden },
+    { "control byte in a name", "HTTP/1.1 200 OK\r\nX\x01: b\r\nContent-Length: 0\r\n", kHidden },
   };
   ServingFixture fixture;
   for (const AnswerCase& testCase : cases) {
@@ -210,4 +213,27 @@
   }
 }
 
+/// Guards against callers that get an answer whose status no instance may send.
+Test(Framing, AnswersWithAnInvalidStatusAreBroken)
+{
+  ServingFixture fixture;
+  for (const std::string status : { "000", "001", "099", "600", "700", "999" }) {
+    for (const std::string framing : { "Content-Length: 4\r\n", "Connection: close\r\n" }) {
+      fixture.instance.Server().SetEarlyHandler([&](const http::request_header<>& aHeader) {
+        return std::optional(EarlyAnswer{
+          .bytes = "HTTP/1.1 " + status + " Odd\r\n" + framing +
+                   "X-Server-Stamp: s\r\nX-Request-Id: " + std::string(aHeader["X-Request-Id"]) +
+                   "\r\n\r\npart" });
+      });
+      const auto answer = fixture.Send(http::verb::post, "/order/1", status + framing.front());
+      cr_assert(answer && answer->result() == http::status::bad_gateway,
+                "%s, %s: status %u",
+                status.c_str(),
+                framing.c_str(),
+                answer ? answer->result_int() : 0);
+      fixture.instance.Server().SetEarlyHandler({});
+    }
+  }
+}
+
 } // namespace
