Take an answer without a length as broken when its connection was reset

Callers that uploaded a large body got a part of an answer as the whole, with status 200: the instance answered at once without a length and reset the connection while the upload was still being written.

Cause: the write of the upload runs beside the read. A socket reports a reset once, to whichever operation meets it first; after the write has taken the error the read sees a plain end, which for an answer without a length is its end.

The end of such an answer now counts only if the write has not failed and the kernel does not report the connection as hung up, which it does after a reset and not after the orderly end of the other side. Answers with a length or in chunks state their end and are delivered as before. Where answers are read after the whole request was written, the read is the one that gets the error.

--- a/include/dragonflymoor/Net/Asio.h
+++ b/include/dragonflymoor/Net/Asio.h
@@ -50,6 +50,12 @@
 bool
 IsIdleAndOpen(tcp::socket& aSocket);
 
+/// Whether the other side has reset the connection, also when an operation has already taken the
+/// error from the socket: a read then sees a plain end. An orderly end of the other side is none.
+/// Precondition: this side has not shut the socket down.
+bool
+IsReset(tcp::socket& aSocket);
+
 /// Closes a connection and discards what it has not delivered yet. After an orderly close the
 /// kernel delivers a request as soon as the path allows, when its caller has long been told
 /// otherwise.
--- a/lib/Gateway/InstanceClient.cpp
+++ b/lib/Gateway/InstanceClient.cpp
@@ -267,6 +267,14 @@
       aResult.error = "answer is incomplete: " + bodyError;
       co_return;
     }
+    // The write takes a reset's error from the socket when it meets it first.
+    const bool endIsUncertain = parser.need_eof() && ((writeState->done && writeState->error) ||
+                                                      IsReset(aConnection->socket));
+    if (endIsUncertain) {
+      metrics_.Count("answers-reset");
+      aResult.error = "answer without a length: connection was reset";
+      co_return;
+    }
     const bool connectionCloses = parser.need_eof() || !parser.get().keep_alive();
     const AnswerHeaders head = protocol_.readAnswerHeaders(parser.get().result_int(), parser.get());
     // An answer without an id belongs to this request only if the connection has carried no other.
--- a/lib/Net/Asio.cpp
+++ b/lib/Net/Asio.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace dfm {
@@ -75,6 +76,13 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool
+IsReset(tcp::socket& aSocket)
+{
+  pollfd entry{ .fd = aSocket.native_handle(), .events = 0, .revents = 0 };
+  return ::poll(&entry, 1, 0) != 0 && (entry.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0;
+}
+
 void
 ResetConnection(tcp::socket& aSocket)
 {
--- a/unittests/Platform/FramingTest.cpp
+++ b/unittests/Platform/FramingTest.cpp
@@ -236,4 +236,65 @@
   }
 }
 
+/// Guards against callers that get a part of an answer as the whole: the instance sends an answer
+/// without a length and resets the connection while it still receives the request.
+Test(Framing, AnswerThatEndsInAResetDuringTheUploadIsBroken)
+{
+  using End = EarlyAnswer::End;
+  struct Case
+  {
+    std::string name;
+    End end;
+    Duration delay;
+    std::string framing;
+    http::status expected;
+  };
+  const Case cases[] = {
+    { "reset at once", End::Reset, 0ms, "", http::status::bad_gateway },
+    { "reset later", End::Reset, 150ms, "", http::status::bad_gateway },
+    { "closed at once", End::Close, 0ms, "", http::status::bad_gateway },
+    { "closed later", End::Close, 150ms, "", http::status::bad_gateway },
+    { "ended", End::Clean, 0ms, "", http::status::ok },
+    { "ended later", End::Clean, 150ms, "", http::status::ok },
+    { "reset, with a length", End::Reset, 150ms, "Content-Length: 4\r\n", http::status::ok },
+    { "reset, short", End::Reset, 150ms, "Content-Length: 9\r\n", http::status::bad_gateway },
+  };
+  constexpr size_t kRequests = 12;
+  // More than the buffers of two sockets take.
+  constexpr size_t kUploadBytes = 8UL * 1024 * 1024;
+  ServingFixture fixture;
+  json::value manifest = ManifestSpec(
+    8,
+    { { .service = "any" },
+      { .name = "order", .prefix = "/order/", .service = "any", .idempotent = false } });
+  manifest.as_object()["limits"].as_object()["max_body_bytes"] = kUploadBytes;
+  fixture.Store().Put("config", "main", manifest);
+  const bool accepted = GatewayFixture::WaitUntil([&] {
+    const auto answer =
+      fixture.Send(http::verb::post, "/order/1", "id", std::string(kUploadBytes, 'u'));
+    return answer && answer->result() == http::status::ok;
+  });
+  cr_assert(accepted);
+  for (const Case& testCase : cases) {
+    fixture.instance.Server().SetEarlyHandler([&](const http::request_header<>& aHeader) {
+      return std::optional(EarlyAnswer{
+        .bytes = "HTTP/1.1 200 OK\r\n" + testCase.framing + "X-Server-Stamp: s\r\nX-Request-Id: " +
+                 std::string(aHeader["X-Request-Id"]) + "\r\n\r\npart",
+        .delay = testCase.delay,
+        .end = testCase.end });
+    });
+    for (size_t i = 0; i < kRequests; ++i) {
+      const auto answer = fixture.Send(http::verb::post,
+                                       "/order/1",
+                                       testCase.name + std::to_string(i),
+                                       std::string(kUploadBytes, 'u'));
+      cr_assert(answer && answer->result() == testCase.expected,
+                "%s, request %zu: status %u",
+                testCase.name.c_str(),
+                i,
+                answer ? answer->result_int() : 0);
+    }
+  }
+}
+
 } // namespace
