Read answers in all clients with the checks of framing

dragonflymoorctl showed nothing where a VM sent an interim answer first.

Cause: lib/Operator and dragonflymoor-load read with Beast's own parser, without the checks of Framing.h, and took an answer of class 1xx as the final one.

Evidence: HttpClient/ReturnsOnlyFinalAnswers failed before in its case with status 102. Its cases with an invalid status, two lengths and a blank in a name were nothing before too, by other checks.

Both use the checked parser and ReadFinalHeader, which the client of the store and the pool of connections to backend servers now share. The load tool no longer keeps a connection with bytes left after the answer.

--- a/lib/Net/HttpPool.cpp
+++ b/lib/Net/HttpPool.cpp
@@ -1,6 +1,6 @@
 #include "dragonflymoor/Net/HttpPool.h"
 
-#include "dragonflymoor/Net/Framing.h"
+#include "dragonflymoor/Net/FinalAnswer.h"
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -24,28 +24,24 @@
 
 /// Reads one answer after any interim ones. The parser is replaced for each.
 asio::awaitable<error_code>
-ReadAnswer(HttpConnection& aConnection, std::unique_ptr<Parser>& aParser, bool aSkipBody)
+ReadAnswer(HttpConnection& aConnection, std::optional<Parser>& aParser, bool aSkipBody)
 {
-  for (int interimAnswers = 0; interimAnswers <= kMaxInterimAnswers; ++interimAnswers) {
-    aParser = std::make_unique<Parser>();
-    aParser->header_limit(kMaxAnswerHeaderBytes);
-    aParser->body_limit(kMaxAnswerBytes);
-    aParser->skip(aSkipBody);
-    auto [headerError, headerBytes] = co_await http::async_read_header(
-      aConnection.stream, aConnection.buffer, *aParser, kAwaitTuple);
-    if (headerError)
-      co_return headerError;
-    if (aParser->get().result_int() < 200)
-      continue;
-    if (!HasDefiniteEnd(*aParser))
-      co_return http::error::partial_message;
-    if (aParser->is_done())
-      co_return error_code();
-    auto [error, bytes] =
-      co_await http::async_read(aConnection.stream, aConnection.buffer, *aParser, kAwaitTuple);
-    co_return error;
-  }
-  co_return http::error::header_limit;
+  const std::function<void(Parser&)> prepare = [aSkipBody](Parser& aPrepared) {
+    aPrepared.header_limit(kMaxAnswerHeaderBytes);
+    aPrepared.body_limit(kMaxAnswerBytes);
+    aPrepared.skip(aSkipBody);
+  };
+  const error_code headerError =
+    co_await ReadFinalHeader(aConnection.stream, aConnection.buffer, aParser, prepare);
+  if (headerError)
+    co_return headerError;
+  if (!HasDefiniteEnd(*aParser))
+    co_return http::error::partial_message;
+  if (aParser->is_done())
+    co_return error_code();
+  auto [error, bytes] =
+    co_await http::async_read(aConnection.stream, aConnection.buffer, *aParser, kAwaitTuple);
+  co_return error;
 }
 
 } // namespace
@@ -121,7 +117,7 @@
     result.error = writeError;
     co_return result;
   }
-  std::unique_ptr<Parser> parser;
+  std::optional<Parser> parser;
   result.error = co_await ReadAnswer(*aConnection, parser, skipBody);
   result.answerStarted = parser->got_some() || aConnection->buffer.size() > 0;
   if (result.error)
--- a/lib/Operator/HttpClient.cpp
+++ b/lib/Operator/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymoor/Operator/HttpClient.h"
 
+#include "dragonflymoor/Net/FinalAnswer.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -7,21 +8,19 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <functional>
 
 namespace dfm {
 
 namespace {
 
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
-
 constexpr uint64_t kMaxBodyBytes = 16ULL * 1024 * 1024;
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -45,11 +44,18 @@
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(aServer.address), aServer.port);
   co_await stream.async_connect(endpoint, asio::use_awaitable);
   co_await http::async_write(stream, aRequest, asio::use_awaitable);
-  boost::beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxBodyBytes);
-  co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
-  co_return parser.release();
+  beast::flat_buffer buffer(MaxUnparsedBytes(kMaxHeaderBytes));
+  using Parser = FramedAnswerParser<http::string_body>;
+  std::optional<Parser> parser;
+  const std::function<void(Parser&)> prepare = [](Parser& aParser) {
+    aParser.header_limit(kMaxHeaderBytes);
+    aParser.body_limit(kMaxBodyBytes);
+  };
+  const error_code error = co_await ReadFinalHeader(stream, buffer, parser, prepare);
+  if (error)
+    throw boost::system::system_error(error);
+  co_await http::async_read(stream, buffer, *parser, asio::use_awaitable);
+  co_return parser->release();
 }
 
 /// Empty when the exchange did not end with a complete answer in time.
--- a/tools/dragonflymoor-load/HttpClient.cpp
+++ b/tools/dragonflymoor-load/HttpClient.cpp
@@ -1,11 +1,15 @@
 #include "HttpClient.h"
 
+#include "dragonflymoor/Net/FinalAnswer.h"
 #include <algorithm>
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <functional>
+#include <optional>
+#include <tuple>
 
 namespace dfm::load {
 
@@ -19,6 +23,7 @@
 constexpr auto kNoThrow = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr Duration kConnectTimeout = 1s;
 constexpr uint64_t kMaxAnswerBytes = 16 << 20;
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 
 /// Whether the peer has closed the connection or sent something without being asked.
 bool
@@ -67,17 +72,24 @@
     exchange.end = ExchangeEnd::TimedOut;
   if (writeError)
     co_return exchange;
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxAnswerBytes);
-  const auto [readError, read] = co_await http::async_read(*stream, buffer, parser, kNoThrow);
+  beast::flat_buffer buffer(MaxUnparsedBytes(kMaxHeaderBytes));
+  using Parser = FramedAnswerParser<http::string_body>;
+  std::optional<Parser> parser;
+  const std::function<void(Parser&)> prepare = [](Parser& aParser) {
+    aParser.header_limit(kMaxHeaderBytes);
+    aParser.body_limit(kMaxAnswerBytes);
+  };
+  error_code readError = co_await ReadFinalHeader(*stream, buffer, parser, prepare);
+  if (!readError)
+    std::tie(readError, std::ignore) =
+      co_await http::async_read(*stream, buffer, *parser, kAwaitTuple);
   if (readError == beast::error::timeout)
     exchange.end = ExchangeEnd::TimedOut;
   if (readError)
     co_return exchange;
   exchange.end = ExchangeEnd::Answered;
-  exchange.response = parser.release();
-  if (exchange.response.keep_alive()) {
+  exchange.response = parser->release();
+  if (exchange.response.keep_alive() && buffer.size() == 0) {
     stream->expires_never();
     idle_[aTo].push_back(std::move(stream));
   }
--- a/unittests/Operator/OperatorTest.cpp
+++ b/unittests/Operator/OperatorTest.cpp
@@ -1,3 +1,4 @@
+#include "../Net/TestServers.h"
 #include "dragonflymoor/Operator/FleetStatus.h"
 #include "dragonflymoor/Operator/HttpClient.h"
 #include "dragonflymoor/Operator/ListEditor.h"
@@ -278,6 +279,32 @@
 }
 
 // Guards against a reason that operators meet in counters and headers but not in their manual.
+// Guards against an operator's tool that shows what is no answer, or only announces one.
+Test(HttpClient, ReturnsOnlyFinalAnswers)
+{
+  struct Case
+  {
+    const char* answer;
+    std::optional<std::string> page;
+  };
+  const Case cases[] = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok" },
+    { "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok" },
+    { "HTTP/1.1 200 OK\r\n\r\nends with the connection", "ends with the connection" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", std::nullopt },
+    { "HTTP/1.1 000 OK\r\n\r\nok", std::nullopt },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", std::nullopt },
+    { "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nok", std::nullopt },
+  };
+  for (const Case& testCase : cases) {
+    TestServer server([&](const HttpRequest&) -> TestServer::Action {
+      return { .bytes = testCase.answer, .close = true };
+    });
+    const auto page = FetchPage(server.Address(), "/metrics", 20s);
+    cr_assert(page == testCase.page, "%s: %s", testCase.answer, page.value_or("nothing").c_str());
+  }
+}
+
 Test(Manual, ExplainsEveryReason)
 {
   std::ifstream file(DFM_SOURCE_DIR "/docs/operators.md");
