Bound the age of the state of a VM whose source has died

Cause: the waits add up. A request to a dead VM took 800 ms, the next one came 200 ms later, and the report of a VM below a delegate stayed valid for 2.3 s; up to 200 ms until the VM noticed, the call to the store and the next publication of the view came on top. The test of these decisions let dead VMs fail at once and looked at the end of each case only.

A silent kept connection is a failed request (300 ms); another VM is asked at once; a follower takes over when the ones before it do not answer, not only when they say that they have lost the store; reports stay valid for 1.6 s and 1.9 s, and a VM notices their end when it comes.

--- a/include/dragonflymoor/Steering/StoreFollowing.h
+++ b/include/dragonflymoor/Steering/StoreFollowing.h
@@ -66,6 +66,9 @@
   /// answers its state requests.
   bool IsServedByFollower(TimePoint aNow) const;
 
+  /// How long IsServedByFollower() stays true if no other VM answers; zero when it is false.
+  Duration TimeServedByFollower(TimePoint aNow) const;
+
   /// Time since the store last answered this VM or the VM that serves it, as reported to others;
   /// empty when neither reaches the store. Changes since then may be unknown here. The time adds up
   /// along a chain of VMs, so that VMs which rely on each other soon notice the loss of the store.
@@ -104,7 +107,8 @@
   bool IsSeed() const;
   bool IsMembershipSettled(TimePoint aNow) const;
   bool IsFollower(TimePoint aNow) const;
-  /// Whether another VM reported recently that the store answers.
+  /// How long the last report of another VM that the store answers remains valid.
+  Duration TimeLeftOfPeerReport(TimePoint aNow) const;
   bool HasFreshPeerReport(TimePoint aNow) const;
   /// Age of the store's last answer from which on the state of a VM is stale.
   Duration MaxStoreAnswerAge() const;
@@ -114,8 +118,9 @@
   bool MayFollow(TimePoint aNow) const;
   /// Whether aPeer recently did not answer or had lost the store.
   bool HasRecentFault(TimePoint aNow, const Endpoint& aPeer) const;
-  /// Whether all followers before this one have lost the store, so that this one takes over.
-  bool HaveEarlierFollowersLostStore(TimePoint aNow) const;
+  /// Whether no follower before this one answered recently and reaches the store, so that this one
+  /// takes over.
+  bool AreEarlierFollowersFaulty(TimePoint aNow) const;
   /// The follower that this VM asks, one without a recent fault if there is any. A follower asks
   /// the first one before it, so that no two rely on each other and chains stay short.
   std::vector<Endpoint> FollowersToAsk(TimePoint aNow) const;
@@ -144,12 +149,8 @@
   std::optional<TimePoint> lastPeerAnswer_;
   size_t failedRootRequests_ = 0;
   bool mustAskAnotherPeer_ = false;
-  struct PeerFault
-  {
-    TimePoint at;
-    bool lostStore = false; ///< The peer has lost the store, or its state is stale.
-  };
-  std::map<Endpoint, PeerFault> faultsByFollower_;
+  /// When a peer last did not answer, had lost the store or sent stale state.
+  std::map<Endpoint, TimePoint> faultsByFollower_;
   std::vector<Endpoint> delegates_; ///< Serve this VM in place of the followers or seeds.
   TimePoint delegatesNamedAt_;
 };
--- a/lib/Gateway/FleetPeers.cpp
+++ b/lib/Gateway/FleetPeers.cpp
@@ -16,7 +16,7 @@
 
 constexpr Duration kPeerConnectTimeout = 500ms;
 
-/// Wait before this VM asks a VM that another one named.
+/// Wait before this VM asks another VM in place of one that named it or did not answer.
 constexpr Duration kRedirectWait = 10ms;
 
 /// Objects of less than this are sent as they are.
@@ -33,10 +33,10 @@
   for (;;) {
     const auto peers = storeFollowing_.PeersToAsk(
       ReadClocks().monotonic, registeredVms_, keeper_.HasLapsedEntries());
-    bool redirected = false;
+    bool askAgain = false;
     if (!peers.empty())
-      redirected = co_await RequestState(peers[random_.Below(peers.size())]);
-    co_await Sleep(redirected ? kRedirectWait : kPeerPollPeriod);
+      askAgain = co_await RequestState(peers[random_.Below(peers.size())]);
+    co_await Sleep(askAgain ? kRedirectWait : kPeerPollPeriod);
   }
 }
 
@@ -83,7 +83,8 @@
         "state request failed",
         { { "peer", ToText(aPeer) }, { "after_ms", std::to_string(elapsed / 1ms) } });
     storeFollowing_.OnPeerRequestFailed(ReadClocks().monotonic, aPeer);
-    co_return false;
+    // A refused connection took no time.
+    co_return elapsed >= kPeerPollPeriod;
   }
   const auto& reply = std::get<StateReply>(envelope->message);
   OnStateReply(aPeer, envelope->sender, reply, elapsed);
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -238,11 +238,12 @@
          storeFollowing_.IsWaitingForSeeds(ReadClocks().monotonic))
     co_await Sleep(kTickPeriod);
   for (;;) {
-    if (keeper_.Snapshot(aKind).revision > 0 &&
-        (storeFollowing_.IsServedByFollower(ReadClocks().monotonic) ||
-         !storeFollowing_.MayCallFor(aKind))) {
-      co_await Sleep(kPeerPollPeriod);
-      continue;
+    if (keeper_.Snapshot(aKind).revision > 0) {
+      const Duration served = storeFollowing_.TimeServedByFollower(ReadClocks().monotonic);
+      if (served > Duration{} || !storeFollowing_.MayCallFor(aKind)) {
+        co_await Sleep(served > Duration{} ? std::min(served, kPeerPollPeriod) : kPeerPollPeriod);
+        continue;
+      }
     }
     if (!listed) {
       listed = co_await ListObjects(aKind);
--- a/lib/Gateway/StateClient.cpp
+++ b/lib/Gateway/StateClient.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr Duration kConnectTimeout = 500ms;
+/// A round trip to another region with room for a busy VM. TCP repeats a lost first packet later.
+constexpr Duration kConnectTimeout = 300ms;
 
 /// Longest time without a byte of the reply.
 constexpr Duration kMaxSilence = 500ms;
 
-/// A kept connection may be dead without notice, so that less time is left for a new one.
+/// A kept connection may be dead without notice.
 constexpr Duration kMaxSilenceOfKeptConnection = 300ms;
 
 } // namespace
@@ -120,8 +121,11 @@
 StateClient::Request(Endpoint aPeer, std::string aRequest)
 {
   if (link_ != nullptr && link_->peer == aPeer && link_->connection != nullptr) {
+    const std::shared_ptr<Link> kept = link_;
     auto reply = co_await Exchange(aRequest, kMaxSilenceOfKeptConnection);
-    if (reply)
+    // The state grows old while a silent VM is asked again; another one may answer.
+    const bool silent = kept->deadline->Remaining(ReadClocks().monotonic) <= Duration{};
+    if (reply || silent)
       co_return reply;
   }
   if (!co_await Connect(aPeer))
--- a/lib/Steering/StoreFollowing.cpp
+++ b/lib/Steering/StoreFollowing.cpp
@@ -37,7 +37,7 @@
 /// older than this. Followers do so earlier: the others are to learn that one has taken over before
 /// their own reports expire, as otherwise all of them would call the store at the same time.
 constexpr Duration kFollowerReportLifetime = 1300ms;
-constexpr Duration kPeerReportLifetime = 1900ms;
+constexpr Duration kPeerReportLifetime = 1600ms;
 
 /// How long followers, and the other VMs, avoid a follower that has lost the store or did not
 /// answer. One that changed between the followers often could be named as a delegate to VMs on
@@ -46,7 +46,7 @@
 constexpr Duration kFaultLifetime = 10s;
 
 /// Added to these for a VM that asks a delegate, whose own report has some age.
-constexpr Duration kDelegatedReportLifetime = 400ms;
+constexpr Duration kDelegatedReportLifetime = 300ms;
 
 /// How long delegates are asked before the VM that named them is asked again.
 constexpr Duration kDelegateLifetime = 3s;
@@ -98,7 +98,7 @@
     known.insert(known.end(), followers.begin(), followers.end());
   }
   std::erase_if(faultsByFollower_,
-                [aNow](const auto& aEntry) { return aNow - aEntry.second.at >= kFaultLifetime; });
+                [aNow](const auto& aEntry) { return aNow - aEntry.second >= kFaultLifetime; });
   regionCount_ = std::max<size_t>(vmsByRegion.size(), 1);
 }
 
@@ -127,7 +127,7 @@
   if (!aStoreAnswerAge || *aStoreAnswerAge >= MaxStoreAnswerAge()) {
     RotatePeers(aPeer);
     const bool isNew = !HasRecentFault(aNow, aPeer);
-    faultsByFollower_[aPeer] = { .at = aNow, .lostStore = true };
+    faultsByFollower_[aPeer] = aNow;
     mustAskAnotherPeer_ = isNew && IsStoreReachable() && IsMembershipSettled(aNow);
     return false;
   }
@@ -202,18 +202,18 @@
 {
   const auto fault = faultsByFollower_.find(aPeer);
   const Duration lifetime = MayFollow(aNow) ? kFaultLifetimeOfFollowers : kFaultLifetime;
-  return fault != faultsByFollower_.end() && aNow - fault->second.at < lifetime;
+  return fault != faultsByFollower_.end() && aNow - fault->second < lifetime;
 }
 
 bool
-StoreFollowing::HaveEarlierFollowersLostStore(TimePoint aNow) const
+StoreFollowing::AreEarlierFollowersFaulty(TimePoint aNow) const
 {
   const size_t rank = FollowerRank();
   if (rank == 0 || rank == followers_.size())
     return false;
   const auto earlierEnd = followers_.begin() + static_cast<std::ptrdiff_t>(rank);
   return std::all_of(followers_.begin(), earlierEnd, [this, aNow](const Vm& aVm) {
-    return HasRecentFault(aNow, aVm.peers) && faultsByFollower_.at(aVm.peers).lostStore;
+    return HasRecentFault(aNow, aVm.peers);
   });
 }
 
@@ -236,15 +236,27 @@
   return PreferredPeer(std::move(peers));
 }
 
-bool
-StoreFollowing::HasFreshPeerReport(TimePoint aNow) const
+Duration
+StoreFollowing::TimeLeftOfPeerReport(TimePoint aNow) const
 {
   const bool isFollower = MayFollow(aNow);
-  if (isFollower && HaveEarlierFollowersLostStore(aNow))
-    return false;
+  if (!peerReportedReachableAt_ || (isFollower && AreEarlierFollowersFaulty(aNow)))
+    return {};
   const Duration lifetime = (isFollower ? kFollowerReportLifetime : kPeerReportLifetime) +
                             (delegates_.empty() ? Duration{} : kDelegatedReportLifetime);
-  return peerReportedReachableAt_ && aNow - *peerReportedReachableAt_ < lifetime;
+  return std::max(Duration{}, *peerReportedReachableAt_ + lifetime - aNow);
+}
+
+bool
+StoreFollowing::HasFreshPeerReport(TimePoint aNow) const
+{
+  return TimeLeftOfPeerReport(aNow) > Duration{};
+}
+
+Duration
+StoreFollowing::TimeServedByFollower(TimePoint aNow) const
+{
+  return IsServedByFollower(aNow) ? TimeLeftOfPeerReport(aNow) : Duration{};
 }
 
 Duration
@@ -358,7 +370,7 @@
 StoreFollowing::OnPeerRequestFailed(TimePoint aNow, const Endpoint& aPeer)
 {
   RotatePeers(aPeer);
-  faultsByFollower_[aPeer] = { .at = aNow };
+  faultsByFollower_[aPeer] = aNow;
 }
 
 void
--- a/unittests/Steering/StoreFollowingTest.cpp
+++ b/unittests/Steering/StoreFollowingTest.cpp
@@ -7,6 +7,7 @@
 #include <numeric>
 #include <rapidcheck.h>
 #include <set>
+#include <utility>
 
 namespace {
 
@@ -18,6 +19,9 @@
 constexpr Duration kDetection = 1500ms;
 /// Time within which an operator's change must be in force at every VM.
 constexpr Duration kInForce = 2500ms;
+/// Part of kInForce in which a VM reads a change and applies it: the call to the store on a new
+/// connection to another region, the decoding and the next publication of the view.
+constexpr Duration kApplyTime = 500ms;
 /// A call on a connection on which the store has fallen silent fails after this time at the latest.
 constexpr Duration kSilentCallTime = 4s;
 
@@ -30,6 +34,8 @@
   size_t maxAskersOfOtherDomains = 2;
   /// Time that the store takes to answer a watch after a change or the end of its wait.
   Duration storeLatency{};
+  /// Time after which a request to a VM that has died is given up.
+  Duration unansweredTime{};
   bool quiet = false; ///< No object changes, so that each watch waits to its end.
 };
 
@@ -154,6 +160,7 @@
     TimePoint knownStoreTime{}; ///< Time of the store's state that the VM knows.
     TimePoint nextAskTime{};
     TimePoint nextCallTime{};
+    std::optional<Endpoint> unansweredPeer{}; ///< Has died and is asked until nextAskTime.
     bool member = false;
     bool refused = false;
     std::optional<TimePoint> diedAt{};
@@ -170,6 +177,7 @@
     aNode.startedAt = now_;
     aNode.knownStoreTime = {};
     aNode.member = false;
+    aNode.unansweredPeer.reset();
     aNode.diedAt.reset();
     aNode.nextAskTime = now_ + kStep * (asks_++ % 4);
     aNode.nextCallTime = now_;
@@ -208,6 +216,8 @@
   void Ask(Node& aNode)
   {
     aNode.nextAskTime = now_ + kAskPeriod;
+    if (aNode.unansweredPeer)
+      aNode.following->OnPeerRequestFailed(now_, *std::exchange(aNode.unansweredPeer, {}));
     const auto peers = aNode.following->PeersToAsk(now_, {});
     if (peers.empty())
       return;
@@ -215,10 +225,14 @@
     for (Node& other : nodes_) {
       if (other.vm.peers != peer)
         continue;
-      if (other.diedAt)
+      if (other.diedAt && options_.unansweredTime > Duration{}) {
+        aNode.unansweredPeer = peer;
+        aNode.nextAskTime = now_ + options_.unansweredTime;
+      } else if (other.diedAt) {
         aNode.following->OnPeerRequestFailed(now_, peer);
-      else
+      } else {
         Answer(other, aNode);
+      }
     }
   }
 
@@ -366,6 +380,44 @@
   }
 }
 
+/// Guards against VMs that serve by an old manifest after the VM died from which they have the
+/// state, or the one that serves that VM in turn.
+Test(StoreFollowing, ChangesReachEveryVmAfterTheDeathOfItsSource)
+{
+  struct Case
+  {
+    const char* name;
+    size_t first; ///< Position among the followers of the first VM that dies.
+    size_t count;
+  };
+  const Case cases[] = {
+    { "the follower", 0, 1 },  { "the first two followers", 0, 2 },
+    { "all followers", 0, 3 }, { "the second follower", 1, 1 },
+    { "three others", 3, 3 },  { "ten others", 3, 10 },
+  };
+  for (const Case& testCase : cases) {
+    for (const size_t vms : { 26, 78, 98 }) {
+      for (const bool quiet : { false, true }) {
+        Region region({ .vms = vms, .domains = 2, .unansweredTime = 300ms, .quiet = quiet });
+        region.Run(8s);
+        const auto followers = region.Followers();
+        for (size_t i = 0; i < testCase.count; ++i)
+          region.Kill(followers[testCase.first + i]);
+        for (int step = 0; step < 200; ++step) {
+          region.Run(kStep);
+          cr_expect(region.Lag() <= kInForce - kApplyTime,
+                    "%s of %zu vms, quiet %d, step %d: %ld ms",
+                    testCase.name,
+                    vms,
+                    quiet ? 1 : 0,
+                    step,
+                    static_cast<long>(region.Lag() / 1ms));
+        }
+      }
+    }
+  }
+}
+
 /// Guards against VMs that take a store without changes, or a slow one, for a silent one and call
 /// it themselves.
 Test(StoreFollowing, FewVmsCallAQuietOrSlowStore)
