--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -130,9 +130,11 @@
               options.platform.decoders,
               metrics,
               [this](std::shared_ptr<const FleetView> aView) {
-                asio::post(trafficContext, [this, publishedView = std::move(aView)] {
-                  OnFleetView(publishedView);
-                });
+                asio::post(
+                  trafficContext,
+                  [this, publishedView = std::move(aView), publishedAt = ReadClocks().monotonic] {
+                    OnFleetView(publishedView, publishedAt);
+                  });
               })
   , callerAcceptor(trafficContext)
   , readinessServer(std::make_shared<PageServer>(
@@ -200,12 +202,19 @@
 }
 
 void
-Gateway::Impl::OnFleetView(std::shared_ptr<const FleetView> aView)
+Gateway::Impl::OnFleetView(std::shared_ptr<const FleetView> aView, TimePoint aPublishedAt)
 {
   const InstanceChanges changes = FindInstanceChanges(*fleetView->instances, *aView->instances);
   const bool receiversChanged = aView->usableVms != fleetView->usableVms;
+  const bool manifestChanged = aView->routes != fleetView->routes;
   fleetView = std::move(aView);
   const TimePoint now = ReadClocks().monotonic;
+  if (manifestChanged)
+    Log(LogLevel::Info,
+        kComponent,
+        "manifest serves requests",
+        { { "version", std::to_string(fleetView->routes->GetManifest().version) },
+          { "handed_over_after_ms", std::to_string((now - aPublishedAt) / 1ms) } });
   callerFront.SetView(fleetView);
   if (receiversChanged)
     loadExchange.SetReceivers(fleetView->usableVms);
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -21,7 +21,8 @@
   /// Binds all ports. Returns a finding for each port that cannot be bound.
   Findings BindPorts();
   DispatcherHooks MakeDispatcherHooks();
-  void OnFleetView(std::shared_ptr<const FleetView> aView);
+  /// aPublishedAt is the time at which the control thread handed the view over.
+  void OnFleetView(std::shared_ptr<const FleetView> aView, TimePoint aPublishedAt);
   void OnPeerMessage(const PeerEnvelope& aEnvelope);
   void OnInstanceStatement(const InstanceRun& aRun, const InstanceStatement& aStatement);
   Page MakeDirectoryPage(std::string_view aTarget);
