--- a/lib/Net/Framing.cpp
+++ b/lib/Net/Framing.cpp
@@ -35,8 +35,8 @@
         return "body in an answer whose status allows none";
       case FramingError::ProtocolSwitch:
         return "unexpected switch of protocols";
-    case FramingError::InvalidStatus:
-      return "invalid status";
+      case FramingError::InvalidStatus:
+        return "invalid status";
     }
     return "unknown";
   }
--- a/unittests/Platform/FramingTest.cpp
+++ b/unittests/Platform/FramingTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 
 namespace {
 
@@ -219,11 +220,11 @@
   ServingFixture fixture;
   for (const std::string status : { "000", "001", "099", "600", "700", "999" }) {
     for (const std::string framing : { "Content-Length: 4\r\n", "Connection: close\r\n" }) {
-      fixture.instance.Server().SetEarlyHandler([&](const http::request_header<>& aHeader) {
+      const std::string head = fmt::format("HTTP/1.1 {} Odd\r\n{}", status, framing);
+      fixture.instance.Server().SetEarlyHandler([&head](const http::request_header<>& aHeader) {
+        const std::string id(aHeader["X-Request-Id"]);
         return std::optional(EarlyAnswer{
-          .bytes = "HTTP/1.1 " + status + " Odd\r\n" + framing +
-                   "X-Server-Stamp: s\r\nX-Request-Id: " + std::string(aHeader["X-Request-Id"]) +
-                   "\r\n\r\npart" });
+          .bytes = fmt::format("{}X-Server-Stamp: s\r\nX-Request-Id: {}\r\n\r\npart", head, id) });
       });
       const auto answer = fixture.Send(http::verb::post, "/order/1", status + framing.front());
       cr_assert(answer && answer->result() == http::status::bad_gateway,
