--- a/unittests/Platform/FramingTest.cpp
+++ b/unittests/Platform/FramingTest.cpp
@@ -242,6 +242,8 @@
 Test(Framing, AnswerThatEndsInAResetDuringTheUploadIsBroken)
 {
   using End = EarlyAnswer::End;
+  // More than the buffers of two sockets take.
+  constexpr size_t kUploadBytes = 8UL * 1024 * 1024;
   struct Case
   {
     std::string name;
@@ -249,6 +251,7 @@
     Duration delay;
     std::string framing;
     http::status expected;
+    size_t bodyBytes = kUploadBytes;
   };
   const Case cases[] = {
     { "reset at once", End::Reset, 0ms, "", http::status::bad_gateway },
@@ -259,10 +262,10 @@
     { "ended later", End::Clean, 150ms, "", http::status::ok },
     { "reset, with a length", End::Reset, 150ms, "Content-Length: 4\r\n", http::status::ok },
     { "reset, short", End::Reset, 150ms, "Content-Length: 9\r\n", http::status::bad_gateway },
+    { "reset after the request", End::Reset, 150ms, "", http::status::bad_gateway, 4 },
+    { "ended after the request", End::Clean, 0ms, "", http::status::ok, 4 },
   };
   constexpr size_t kRequests = 12;
-  // More than the buffers of two sockets take.
-  constexpr size_t kUploadBytes = 8UL * 1024 * 1024;
   ServingFixture fixture;
   json::value manifest = ManifestSpec(
     8,
@@ -288,7 +291,7 @@
       const auto answer = fixture.Send(http::verb::post,
                                        "/order/1",
                                        testCase.name + std::to_string(i),
-                                       std::string(kUploadBytes, 'u'));
+                                       std::string(testCase.bodyBytes, 'u'));
       cr_assert(answer && answer->result() == testCase.expected,
                 "%s, request %zu: status %u",
                 testCase.name.c_str(),
