--- a/include/dragonflymoor/Gateway/StateClient.h
+++ b/include/dragonflymoor/Gateway/StateClient.h
@@ -52,9 +52,9 @@
   };
 
   asio::awaitable<bool> Connect(Endpoint aPeer);
-  /// Sends aRequest over the link and waits for the reply, until nothing has arrived for aSilence
-  /// or the reply is slower than any link. Returns nothing without a reply; the link is closed
-  /// then, so that a late reply is never taken for that of another request.
+  /// Sends aRequest over the link and waits for the reply, with a TransferDeadline of aMaxSilence.
+  /// Returns nothing without a reply; the link is closed then, so that a late reply is never taken
+  /// for that of another request.
   asio::awaitable<std::optional<PeerEnvelope>> Exchange(std::string aRequest, Duration aMaxSilence);
   void Close();
 
--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -94,6 +94,29 @@
   cr_assert(fixture.HasUsableInstance("i-1"));
 }
 
+/// Guards against a change that is sent to all VMs again whenever it comes from another source.
+Test(FleetKeeper, RepeatedChangeIsNotPassedOn)
+{
+  Fixture fixture;
+  FleetKeeper& keeper = fixture.keeper;
+  fixture.Set(ObjectKind::Manifest, 10, { { "main", "1" } });
+  const auto change = [&](uint64_t aRevision, const std::optional<std::string>& aContent) {
+    keeper.OnChanges(
+      fixture.now, ObjectKind::Manifest, aRevision, { { .name = "main", .content = aContent } });
+  };
+  change(20, "2");
+  const uint64_t count = keeper.ChangeCount(ObjectKind::Manifest);
+  change(30, "2");
+  cr_assert(keeper.ChangeCount(ObjectKind::Manifest) == count);
+  cr_assert(keeper.Snapshot(ObjectKind::Manifest).revision == 30);
+  const auto known = keeper.ChangesSince(ObjectKind::Manifest, 20);
+  cr_assert(known && known->empty());
+  const auto missed = keeper.ChangesSince(ObjectKind::Manifest, 10);
+  cr_assert(missed && missed->size() == 1 && missed->front().content == "2");
+  change(40, std::nullopt);
+  cr_assert(keeper.ChangeCount(ObjectKind::Manifest) == count + 1);
+}
+
 /// An invalid entry, as another writer may store, defines no instance and leaves the others in
 /// force.
 Test(FleetKeeper, InvalidEntryNamesNoInstance)
--- a/unittests/Support/SupportTest.cpp
+++ b/unittests/Support/SupportTest.cpp
@@ -2,6 +2,7 @@
 #include "dragonflymoor/Support/Compression.h"
 #include "dragonflymoor/Support/Hash.h"
 #include "dragonflymoor/Support/Log.h"
+#include "dragonflymoor/Support/TransferDeadline.h"
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <cstring>
@@ -109,3 +110,42 @@
     cr_expect(ClosestName(row.name, kKnown) == row.closest, "%s", row.name.c_str());
   cr_assert(ClosestName("name", {}).empty());
 }
+
+namespace {
+
+struct TransferCase
+{
+  const char* name;
+  Duration period; ///< Between two pieces.
+  size_t pieceBytes;
+  size_t pieces;
+  bool inTime;
+};
+
+} // namespace
+
+ParameterizedTestParameters(TransferDeadline, LimitsSilenceAndRate)
+{
+  static TransferCase cases[] = {
+    { "many quick pieces for a long time", 100ms, 4096, 600, true },
+    { "pieces just before the end", 499ms, 8192, 20, true },
+    { "silence", 501ms, 1 << 20, 2, false },
+    { "a trickle", 100ms, 100, 100, false },
+    { "a single piece", 400ms, 1, 1, true },
+  };
+  return cr_make_param_array(TransferCase, cases, sizeof(cases) / sizeof(TransferCase));
+}
+
+// Guards against a transfer that is given up although it makes progress, and one that never ends.
+ParameterizedTest(TransferCase* aCase, TransferDeadline, LimitsSilenceAndRate)
+{
+  TimePoint now{ 100s };
+  TransferDeadline deadline(now, 500ms);
+  bool inTime = true;
+  for (size_t piece = 0; piece < aCase->pieces; ++piece) {
+    now += aCase->period;
+    inTime = inTime && deadline.Remaining(now) > Duration{};
+    deadline.OnBytes(now, aCase->pieceBytes);
+  }
+  cr_assert(inTime == aCase->inTime, "%s", aCase->name);
+}
