Show at which revision a VM knows each kind of objects

Its lines show the revision of the published view, which stays when nothing changes, so that a state that is late cannot be told from one that is incomplete.

The gauge known_revision{kind} shows the revision that the VM states to others.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -59,6 +59,8 @@
 
   asio::awaitable<void> FollowObjects(ObjectKind aKind);
   asio::awaitable<bool> ListObjects(ObjectKind aKind);
+  /// Sets the gauge of the revision at which this VM knows a kind.
+  void ReportRevision(ObjectKind aKind);
   /// Registers this VM. Returns whether the store has done so.
   asio::awaitable<bool> RegisterVm();
   /// Keeps this VM registered, and lists the registered VMs where it is this VM's task.
--- a/lib/Gateway/FleetPeers.cpp
+++ b/lib/Gateway/FleetPeers.cpp
@@ -318,6 +318,7 @@
       keeper_.OnChanges(now, kind.kind, changes);
       viewChanged_ = viewChanged_ || !changes.changes.empty();
     }
+    ReportRevision(kind.kind);
     // The revision alone moves with each change in the store, whatever its kind.
     const bool hasChanges = kind.complete || !kind.set.objects.empty() || !kind.removed.empty();
     Log(kind.kind == ObjectKind::Manifest && hasChanges ? LogLevel::Info : LogLevel::Debug,
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -273,6 +273,14 @@
         { "store_answer_age_ms", age ? std::to_string(*age / 1ms) : "-" } });
 }
 
+void
+FleetSync::ReportRevision(ObjectKind aKind)
+{
+  metrics_.SetGauge("known_revision",
+                    static_cast<double>(keeper_.Snapshot(aKind).revision.number),
+                    { { "kind", std::string(ToString(aKind)) } });
+}
+
 asio::awaitable<bool>
 FleetSync::ListObjects(ObjectKind aKind)
 {
@@ -284,6 +292,7 @@
   }
   OnStoreCallEnd(aKind, std::nullopt);
   keeper_.OnSnapshot(ReadClocks().monotonic, aKind, *set);
+  ReportRevision(aKind);
   viewChanged_ = true;
   co_return true;
 }
@@ -314,6 +323,7 @@
       if (changes) {
         OnStoreCallEnd(aKind, std::nullopt);
         keeper_.OnChanges(ReadClocks().monotonic, aKind, *changes);
+        ReportRevision(aKind);
         wait = kFirstRetryWait;
         watchFailed = false;
         if (!changes->changes.empty()) {
