Pass on every change that another VM may have missed

Cause: a VM that serves others noted a change under the revision of the answer that first showed it, and dropped it when a later answer repeated it. A list of several pages has the revision of its first page but shows later changes; VMs that state this revision already were told of nothing when the watch repeated the change under its own revision. The same rule (what changes nothing here is news for nobody) loses a change that was taken back before the VM saw it, by a list, a watch that gives the latest state of each object, or another VM. A list that follows on an earlier state also hid removals in between.

Evidence: the list is logged with revision 0.610 and page revision 0.611, all three VMs are at 611 a moment later, and the one that goes on logs no drain.

Fix: KnownObjects holds, for each object, the revision of its last change or a later one, taken from the store's metadata where it is stated. A change is passed on unless it belongs to the revision that was known. After a list or a gap, removals are not known one by one: the names of all objects are sent with the changes, and the receiver removes the others. The whole state is sent if more than half of it changed.

FleetKeeper/RepeatedChangeIsNotPassedOn asked that a change under a later revision that changes nothing here is not passed on: that is the fault. It now asks the same of a change whose own revision was known.

--- a/include/dragonflymoor/Gateway/FleetSync.h
+++ b/include/dragonflymoor/Gateway/FleetSync.h
@@ -96,6 +96,8 @@
   /// Packs the objects of aAnswer, which are the present state of some, if they are large. VMs that
   /// ask with the same revision get the same bytes.
   void PackChanges(StateReply::Kind& aAnswer);
+  /// Packs the names of aAnswer, which are those of all present objects.
+  void PackNamesOf(StateReply::Kind& aAnswer);
   /// aElapsed is the time from aRequest to the whole reply.
   void OnStateReply(const Endpoint& aPeer,
                     const VmId& aFrom,
@@ -124,6 +126,7 @@
   };
   std::array<PackedState, kObjectKindCount> packedSnapshots_;
   std::array<PackedState, kObjectKindCount> packedChanges_;
+  std::array<PackedState, kObjectKindCount> packedNames_;
   Random random_;
   DatagramSocket datagrams_;
   StateClient stateClient_;
--- a/include/dragonflymoor/Steering/FleetKeeper.h
+++ b/include/dragonflymoor/Steering/FleetKeeper.h
@@ -113,10 +113,9 @@
   /// Ends what holds for a limited time. True when that changes the view.
   bool OnTick(TimePoint aNow);
 
-  /// What changed in one kind after aRevision, the latest state of each object once; empty when
-  /// that is no longer known.
-  std::optional<std::vector<ObjectChange>> ChangesSince(ObjectKind aKind,
-                                                        const StoreRevision& aRevision) const
+  /// What changed in one kind after aRevision, the latest state of each object once; empty for a VM
+  /// that is to get all objects.
+  std::optional<ObjectChanges> ChangesSince(ObjectKind aKind, const StoreRevision& aRevision) const
   {
     return KnownOf(aKind).ChangesSince(aRevision);
   }
@@ -152,10 +151,6 @@
 
   KnownObjects& KnownOf(ObjectKind aKind) { return known_[static_cast<size_t>(aKind)]; }
   const KnownObjects& KnownOf(ObjectKind aKind) const { return known_[static_cast<size_t>(aKind)]; }
-  void Apply(TimePoint aNow,
-             ObjectKind aKind,
-             const StoreRevision& aRevision,
-             const std::vector<ObjectChange>& aChanges);
   void ApplyChange(TimePoint aNow, ObjectKind aKind, const ObjectChange& aChange);
   void ApplyManifest(const std::string& aContent);
   /// Another VM sent the manifest that it has in force.
--- a/include/dragonflymoor/Steering/PeerMessages.h
+++ b/include/dragonflymoor/Steering/PeerMessages.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -50,6 +51,10 @@
     std::vector<std::string> removed; ///< Names of removed objects if not complete.
     /// PackObjects(set.objects); encoded in their place unless empty. Empty after decoding.
     std::string packed;
+    /// Names of all objects, if not complete and removed may not have all removals.
+    std::optional<std::set<std::string>> names;
+    /// PackNames(*names); encoded in their place unless empty. Empty after decoding.
+    std::string packedNames;
 
     bool operator==(const Kind&) const = default;
   };
@@ -92,6 +97,10 @@
 std::string
 PackObjects(const std::map<std::string, std::string>& aObjects);
 
+/// Encodes and compresses names of objects. Safe to call from any thread.
+std::string
+PackNames(const std::set<std::string>& aNames);
+
 /// Encodes one datagram or the payload of one frame. Safe to call from any thread.
 std::string
 EncodePeer(const VmId& aSender, const PeerMessage& aMessage);
--- a/lib/Gateway/FleetPeers.cpp
+++ b/lib/Gateway/FleetPeers.cpp
@@ -233,6 +233,18 @@
   aAnswer.packed = packed.bytes;
 }
 
+void
+FleetSync::PackNamesOf(StateReply::Kind& aAnswer)
+{
+  if (!aAnswer.names)
+    return;
+  const uint64_t changeCount = keeper_.ChangeCount(aAnswer.kind);
+  PackedState& packed = packedNames_[static_cast<size_t>(aAnswer.kind)];
+  if (packed.bytes.empty() || packed.changeCount != changeCount)
+    packed = { .changeCount = changeCount, .bytes = PackNames(*aAnswer.names) };
+  aAnswer.packedNames = packed.bytes;
+}
+
 StateReply
 FleetSync::MakeStateReply(const StateRequest& aRequest)
 {
@@ -259,20 +271,22 @@
     const ObjectSet& set = keeper_.Snapshot(kind);
     if (set.revision <= aRequest.revisions[i])
       continue;
-    const auto changes = keeper_.ChangesSince(kind, aRequest.revisions[i]);
+    auto changes = keeper_.ChangesSince(kind, aRequest.revisions[i]);
     if (!changes) {
       reply.kinds.push_back(
         { .kind = kind, .set = { .revision = set.revision }, .packed = PackedSnapshot(kind) });
       continue;
     }
     StateReply::Kind answer{ .kind = kind, .set = { .revision = set.revision }, .complete = false };
-    for (const ObjectChange& change : *changes) {
+    for (const ObjectChange& change : changes->changes) {
       if (change.content)
         answer.set.objects[change.name] = *change.content;
       else
         answer.removed.push_back(change.name);
     }
     PackChanges(answer);
+    answer.names = std::move(changes->names);
+    PackNamesOf(answer);
     reply.kinds.push_back(std::move(answer));
   }
   return reply;
@@ -310,13 +324,14 @@
       viewChanged_ = true;
     } else {
       ObjectChanges changes{ .since = aRequest.revisions[static_cast<size_t>(kind.kind)],
-                             .revision = kind.set.revision };
+                             .revision = kind.set.revision,
+                             .names = kind.names };
       for (const auto& [name, content] : kind.set.objects)
         changes.changes.push_back({ .name = name, .content = content });
       for (const std::string& name : kind.removed)
         changes.changes.push_back({ .name = name });
       keeper_.OnChanges(now, kind.kind, changes);
-      viewChanged_ = viewChanged_ || !changes.changes.empty();
+      viewChanged_ = viewChanged_ || !changes.changes.empty() || changes.names;
     }
     ReportRevision(kind.kind);
     // The revision alone moves with each change in the store, whatever its kind.
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -75,7 +75,7 @@
     hooks_.stateIgnored(aKind, aSet.revision, known);
     return;
   }
-  const std::vector<ObjectChange> changes = KnownOf(aKind).ChangesTo(aSet);
+  const std::vector<ObjectChange> changes = KnownOf(aKind).Replace(aSet);
   if (aKind == ObjectKind::Instances)
     departures_.OnList(aNow);
   const bool returned = known.number > 0 && known.epoch < aSet.revision.epoch;
@@ -85,7 +85,8 @@
     if (returned && aKind == ObjectKind::Evacuations && !change.content)
       lostEvacuations_[FailureDomainId(change.name)] = aNow + kLostEvacuationTime;
   }
-  Apply(aNow, aKind, aSet.revision, changes);
+  for (const ObjectChange& change : changes)
+    ApplyChange(aNow, aKind, change);
   if (returned && aKind == ObjectKind::Instances) {
     // Entries that are listed as before are not among the changes.
     for (const Departure& departure : departures_.ListBefore(aSet.revision.epoch)) {
@@ -99,7 +100,7 @@
 void
 FleetKeeper::OnChanges(TimePoint aNow, ObjectKind aKind, const ObjectChanges& aChanges)
 {
-  const StoreRevision& known = Snapshot(aKind).revision;
+  const StoreRevision known = Snapshot(aKind).revision;
   const bool follows = aChanges.since.epoch == aChanges.revision.epoch &&
                        aChanges.revision.epoch == known.epoch && aChanges.since <= known &&
                        known <= aChanges.revision;
@@ -107,17 +108,7 @@
     hooks_.stateIgnored(aKind, aChanges.revision, known);
     return;
   }
-  Apply(aNow, aKind, aChanges.revision, aChanges.changes);
-}
-
-void
-FleetKeeper::Apply(TimePoint aNow,
-                   ObjectKind aKind,
-                   const StoreRevision& aRevision,
-                   const std::vector<ObjectChange>& aChanges)
-{
-  KnownOf(aKind).Apply(aRevision, aChanges);
-  for (const ObjectChange& change : aChanges)
+  for (const ObjectChange& change : KnownOf(aKind).Apply(aChanges))
     ApplyChange(aNow, aKind, change);
 }
 
--- a/lib/Steering/KnownObjects.cpp
+++ b/lib/Steering/KnownObjects.cpp
@@ -1,14 +1,14 @@
 #include "dragonflymoor/Steering/KnownObjects.h"
 
-#include <set>
+#include <algorithm>
 
 namespace dfm {
 
 namespace {
 
-/// Changes of one kind that are remembered for other VMs; more than a replacement of all instances
+/// Removals of one kind that are remembered for other VMs; more than a replacement of all instances
 /// of a service brings.
-constexpr size_t kMaxHistoryEntries = 1024;
+constexpr size_t kMaxRemovals = 1024;
 
 /// Applies aChange to aSet. Returns whether that changed anything.
 bool
@@ -57,44 +57,105 @@
   return changes;
 }
 
-void
-KnownObjects::Apply(const StoreRevision& aRevision, const std::vector<ObjectChange>& aChanges)
+std::vector<ObjectChange>
+KnownObjects::Replace(const ObjectSet& aSet)
+{
+  const StoreRevision known = set_.revision;
+  const bool follows = known.number > 0 && known.epoch == aSet.revision.epoch;
+  std::vector<ObjectChange> changes = ChangesTo(aSet);
+  std::map<std::string, uint64_t> changedAt;
+  for (const auto& [name, content] : aSet.objects) {
+    const auto stated = aSet.changedAt.find(name);
+    const auto previous = set_.changedAt.find(name);
+    const bool isKnown = follows && previous != set_.changedAt.end() &&
+                         stated != aSet.changedAt.end() && stated->second <= known.number &&
+                         set_.objects.at(name) == content;
+    if (isKnown) {
+      changedAt[name] = previous->second;
+      continue;
+    }
+    // A content that differs under a revision that is known changed without a revision of its own.
+    const bool hasRevision =
+      stated != aSet.changedAt.end() && (!follows || stated->second > known.number);
+    changedAt[name] = hasRevision ? stated->second : aSet.revision.number;
+  }
+  // An object that was added and removed since the known revision is not among the changes.
+  if (!follows || known.number < aSet.revision.number) {
+    removals_.clear();
+    removalsSince_ = aSet.revision.number;
+  }
+  set_ = { .revision = aSet.revision, .objects = aSet.objects, .changedAt = std::move(changedAt) };
+  changeCount_ += changes.size();
+  return changes;
+}
+
+std::vector<ObjectChange>
+KnownObjects::Apply(const ObjectChanges& aChanges)
 {
-  if (set_.revision.number == 0 || set_.revision.epoch != aRevision.epoch) {
-    changed_.clear();
-    completeSince_ = aRevision.number;
+  const uint64_t known = set_.revision.number;
+  const uint64_t revision = aChanges.revision.number;
+  std::vector<ObjectChange> changes = aChanges.changes;
+  if (aChanges.names) {
+    for (const auto& [name, content] : set_.objects) {
+      if (!aChanges.names->contains(name))
+        changes.push_back({ .name = name });
+    }
+    removals_.clear();
+    removalsSince_ = revision;
   }
-  set_.revision = aRevision;
-  for (const ObjectChange& change : aChanges) {
-    if (!UpdateObject(set_, change))
+  set_.revision = aChanges.revision;
+  for (const ObjectChange& change : changes) {
+    const bool isChanged = UpdateObject(set_, change);
+    changeCount_ += isChanged ? 1 : 0;
+    if (!isChanged && change.revision > 0 && change.revision <= known)
       continue;
-    ++changeCount_;
-    changed_.emplace_back(aRevision.number, change.name);
-    if (changed_.size() > kMaxHistoryEntries) {
-      completeSince_ = changed_.front().first;
-      changed_.pop_front();
+    if (change.content) {
+      uint64_t& changedAt = set_.changedAt[change.name];
+      changedAt = std::max(changedAt, change.revision > 0 ? change.revision : revision);
+    } else {
+      set_.changedAt.erase(change.name);
+      AddRemoval(revision, change.name);
     }
   }
+  return changes;
 }
 
-std::optional<std::vector<ObjectChange>>
+void
+KnownObjects::AddRemoval(uint64_t aRevision, const std::string& aName)
+{
+  removals_.emplace_back(aRevision, aName);
+  if (removals_.size() > kMaxRemovals) {
+    removalsSince_ = removals_.front().first;
+    removals_.pop_front();
+  }
+}
+
+std::optional<ObjectChanges>
 KnownObjects::ChangesSince(const StoreRevision& aRevision) const
 {
-  if (aRevision.epoch != set_.revision.epoch || aRevision.number < completeSince_)
+  if (aRevision.number == 0 || aRevision.epoch != set_.revision.epoch)
     return std::nullopt;
-  std::set<std::string> names;
-  for (const auto& [revision, name] : changed_) {
-    if (revision > aRevision.number)
-      names.insert(name);
+  ObjectChanges result{ .since = aRevision, .revision = set_.revision };
+  for (const auto& [name, changedAt] : set_.changedAt) {
+    if (changedAt > aRevision.number)
+      result.changes.push_back({ .name = name, .content = set_.objects.at(name) });
   }
-  std::vector<ObjectChange> changes;
-  for (const std::string& name : names) {
-    const auto object = set_.objects.find(name);
-    changes.push_back({ .name = name });
-    if (object != set_.objects.end())
-      changes.back().content = object->second;
+  if (aRevision.number < removalsSince_) {
+    if (2 * result.changes.size() > set_.objects.size())
+      return std::nullopt;
+    result.names.emplace();
+    for (const auto& [name, content] : set_.objects)
+      result.names->insert(name);
+    return result;
   }
-  return changes;
+  std::set<std::string> removed;
+  for (const auto& [revision, name] : removals_) {
+    if (revision > aRevision.number && !set_.objects.contains(name))
+      removed.insert(name);
+  }
+  for (const std::string& name : removed)
+    result.changes.push_back({ .name = name });
+  return result;
 }
 
 } // namespace dfm
--- a/lib/Steering/PeerMessages.cpp
+++ b/lib/Steering/PeerMessages.cpp
@@ -192,8 +192,14 @@
 {
   std::vector<Offset<wire::StateSet>> sets;
   sets.reserve(aReply.kinds.size());
-  for (const auto& [kind, set, complete, removed, packed] : aReply.kinds) {
+  for (const auto& [kind, set, complete, removed, packed, allNames, packedAllNames] :
+       aReply.kinds) {
     const std::vector<uint8_t> packedBytes(packed.begin(), packed.end());
+    std::vector<uint8_t> packedNames(packedAllNames.begin(), packedAllNames.end());
+    if (allNames && packedNames.empty()) {
+      const std::string bytes = PackNames(*allNames);
+      packedNames.assign(bytes.begin(), bytes.end());
+    }
     std::vector<Offset<wire::ObjectEntry>> entries;
     if (packed.empty())
       entries = Encode(aBuilder, set.objects);
@@ -208,7 +214,8 @@
                                               complete,
                                               &names,
                                               &packedBytes,
-                                              set.revision.epoch));
+                                              set.revision.epoch,
+                                              allNames ? &packedNames : nullptr));
   }
   std::vector<Offset<wire::PeerEndpoint>> delegates;
   delegates.reserve(aReply.delegates.size());
@@ -385,6 +392,16 @@
       for (const flatbuffers::String* name : *set->removed())
         kind.removed.push_back(name->str());
     }
+    if (set->names() != nullptr) {
+      const auto* packed = reinterpret_cast<const char*>(set->names()->data());
+      ObjectSet all;
+      const auto unpacked = UnpackObjects({ packed, set->names()->size() }, all);
+      if (!unpacked)
+        return tl::unexpected(unpacked.error());
+      kind.names.emplace();
+      for (const auto& [name, content] : all.objects)
+        kind.names->insert(name);
+    }
     reply.kinds.push_back(std::move(kind));
   }
   return reply;
@@ -437,6 +454,15 @@
   return Deflate({ reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() });
 }
 
+std::string
+PackNames(const std::set<std::string>& aNames)
+{
+  std::map<std::string, std::string> objects;
+  for (const std::string& name : aNames)
+    objects.emplace(name, "");
+  return PackObjects(objects);
+}
+
 std::string
 EncodePeer(const VmId& aSender, const PeerMessage& aMessage)
 {
--- a/lib/Steering/steering_generated.h
+++ b/lib/Steering/steering_generated.h
@@ -642,7 +642,8 @@
     VT_WHOLE = 10,
     VT_REMOVED = 12,
     VT_PACKED = 14,
-    VT_EPOCH = 16
+    VT_EPOCH = 16,
+    VT_NAMES = 18
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -665,6 +666,9 @@
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
   }
+  const flatbuffers::Vector<uint8_t> *names() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_NAMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -679,6 +683,8 @@
            VerifyOffset(verifier, VT_PACKED) &&
            verifier.VerifyVector(packed()) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_NAMES) &&
+           verifier.VerifyVector(names()) &&
            verifier.EndTable();
   }
 };
@@ -708,6 +714,9 @@
   void add_epoch(uint64_t epoch) {
     fbb_.AddElement<uint64_t>(StateSet::VT_EPOCH, epoch, 0);
   }
+  void add_names(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> names) {
+    fbb_.AddOffset(StateSet::VT_NAMES, names);
+  }
   explicit StateSetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -727,10 +736,12 @@
     bool whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
-    uint64_t epoch = 0) {
+    uint64_t epoch = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> names = 0) {
   StateSetBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_revision(revision);
+  builder_.add_names(names);
   builder_.add_packed(packed);
   builder_.add_removed(removed);
   builder_.add_objects(objects);
@@ -747,10 +758,12 @@
     bool whole = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr,
     const std::vector<uint8_t> *packed = nullptr,
-    uint64_t epoch = 0) {
+    uint64_t epoch = 0,
+    const std::vector<uint8_t> *names = nullptr) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<dfm::wire::ObjectEntry>>(*objects) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
   auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
+  auto names__ = names ? _fbb.CreateVector<uint8_t>(*names) : 0;
   return dfm::wire::CreateStateSet(
       _fbb,
       kind,
@@ -759,7 +772,8 @@
       whole,
       removed__,
       packed__,
-      epoch);
+      epoch,
+      names__);
 }
 
 struct Departure FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/unittests/Platform/StandIns.cpp
+++ b/unittests/Platform/StandIns.cpp
@@ -348,6 +348,26 @@
   state_.events.clear();
 }
 
+void
+StandInStore::AfterFirstPage(const std::string& aKind, std::function<void()> aAction)
+{
+  const std::scoped_lock lock(mutex_);
+  pageActions_[aKind] = std::move(aAction);
+}
+
+std::function<void()>
+StandInStore::TakePageAction(const Request& aRequest, const Response& aAnswer)
+{
+  const std::string target = ToString(aRequest.target());
+  const std::scoped_lock lock(mutex_);
+  for (auto& [kind, action] : pageActions_) {
+    if (target == "/objects/" + kind &&
+        aAnswer.body().find("\"has_more\":true") != std::string::npos)
+      return std::exchange(action, {});
+  }
+  return {};
+}
+
 bool
 StandInStore::Contains(const std::string& aKind, const std::string& aName)
 {
@@ -449,6 +469,8 @@
   if (mode_ == Mode::Silent)
     return { .neverAnswers = true };
   Reaction reaction = Answer(aRequest);
+  if (const auto action = TakePageAction(aRequest, reaction.answer))
+    action();
   const std::scoped_lock lock(mutex_);
   if (epoch_)
     reaction.answer.set("Store-Era", std::to_string(*epoch_));
--- a/unittests/Platform/StandIns.h
+++ b/unittests/Platform/StandIns.h
@@ -178,6 +178,9 @@
   void LimitRate(size_t aBytesPerSecond) { bytesPerSecond_ = aBytesPerSecond; }
   /// Closes the connection of each watch that has waited for this long without an event.
   void CutWatchesAfter(Duration aWait) { watchLimit_ = aWait; }
+  /// Calls aAction once, when the first page of a list of aKind has been made and others are to
+  /// follow, before it is sent. An empty function takes that back.
+  void AfterFirstPage(const std::string& aKind, std::function<void()> aAction);
   bool Contains(const std::string& aKind, const std::string& aName);
   /// Number of HTTP requests to the store so far, in every mode.
   unsigned CallCount() const { return callCount_; }
@@ -185,6 +188,8 @@
 private:
   Reaction HandleRequest(const Request& aRequest);
   Reaction Answer(const Request& aRequest);
+  /// Takes the action of AfterFirstPage if it is due after this answer.
+  std::function<void()> TakePageAction(const Request& aRequest, const Response& aAnswer);
   Response AnswerGet(const std::string& aKind, const std::string& aQuery);
   Response AnswerWrite(const Request& aRequest, const std::vector<std::string>& aPathSegments);
   /// Writes or deletes an object under a new revision and records the event; returns the object.
@@ -198,6 +203,7 @@
   std::vector<std::string> specBytes_; ///< Each stands for the spec "bytes-" and its index.
   Copy state_;
   std::optional<uint64_t> epoch_;
+  std::map<std::string, std::function<void()>> pageActions_; ///< By kind.
   std::atomic<Mode> mode_ = Mode::Answering;
   std::atomic<Duration> watchLimit_{};
   std::atomic<size_t> bytesPerSecond_ = 0;
--- a/unittests/Steering/FleetKeeperTest.cpp
+++ b/unittests/Steering/FleetKeeperTest.cpp
@@ -104,23 +104,25 @@
   Fixture fixture;
   FleetKeeper& keeper = fixture.keeper;
   fixture.Set(ObjectKind::Manifest, 10, { { "main", "1" } });
-  const auto change = [&](uint64_t aRevision, const std::optional<std::string>& aContent) {
-    keeper.OnChanges(fixture.now,
-                     ObjectKind::Manifest,
-                     { .since = keeper.Snapshot(ObjectKind::Manifest).revision,
-                       .revision = { .number = aRevision },
-                       .changes = { { .name = "main", .content = aContent } } });
-  };
-  change(20, "2");
+  const auto change =
+    [&](uint64_t aRevision, const std::optional<std::string>& aContent, uint64_t aChangedAt) {
+      keeper.OnChanges(
+        fixture.now,
+        ObjectKind::Manifest,
+        { .since = keeper.Snapshot(ObjectKind::Manifest).revision,
+          .revision = { .number = aRevision },
+          .changes = { { .name = "main", .content = aContent, .revision = aChangedAt } } });
+    };
+  change(20, "2", 20);
   const uint64_t count = keeper.ChangeCount(ObjectKind::Manifest);
-  change(30, "2");
+  change(30, "2", 20);
   cr_assert(keeper.ChangeCount(ObjectKind::Manifest) == count);
   cr_assert(keeper.Snapshot(ObjectKind::Manifest).revision.number == 30);
   const auto known = keeper.ChangesSince(ObjectKind::Manifest, { .number = 20 });
-  cr_assert(known && known->empty());
+  cr_assert(known && known->changes.empty());
   const auto missed = keeper.ChangesSince(ObjectKind::Manifest, { .number = 10 });
-  cr_assert(missed && missed->size() == 1 && missed->front().content == "2");
-  change(40, std::nullopt);
+  cr_assert(missed && missed->changes.size() == 1 && missed->changes.front().content == "2");
+  change(40, std::nullopt, 0);
   cr_assert(keeper.ChangeCount(ObjectKind::Manifest) == count + 1);
 }
 
--- a/unittests/Steering/ManifestTest.cpp
+++ b/unittests/Steering/ManifestTest.cpp
@@ -122,6 +122,11 @@
   kind.set.objects["i-1"] = "{}";
   kind.complete = false;
   kind.removed.emplace_back("i-2");
+  kind.names = { "i-1", "i-4" };
+  reply.kinds.push_back({ .kind = ObjectKind::Evacuations,
+                          .set = { .revision = { .epoch = 3, .number = 9 } },
+                          .complete = false,
+                          .names = std::set<std::string>() });
   reply.epoch = 4;
   reply.earlier = {
     .manifest = "{}",
@@ -162,6 +167,7 @@
   StateReply packed = reply;
   packed.kinds[0].packed = PackObjects(packed.kinds[0].set.objects);
   packed.kinds[0].set.objects.clear();
+  packed.kinds[0].packedNames = PackNames(*packed.kinds[0].names);
   const std::string packedBytes = EncodePeer(VmId("vm-1"), packed);
   const auto unpacked = DecodePeer(packedBytes);
   cr_assert(unpacked.has_value() && unpacked->message == PeerMessage(reply));
--- a/unittests/Steering/StoreReturnTest.cpp
+++ b/unittests/Steering/StoreReturnTest.cpp
@@ -171,7 +171,7 @@
   node.List(ObjectKind::Manifest, { 2, 20 }, { { "main", "6" } });
   for (const StoreRevision& known : { StoreRevision{ 1, 20 }, { 1, 50 }, { 2, 10 } })
     cr_assert(not node.keeper.ChangesSince(ObjectKind::Manifest, known).has_value());
-  cr_assert(node.keeper.ChangesSince(ObjectKind::Manifest, { 2, 20 })->empty());
+  cr_assert(node.keeper.ChangesSince(ObjectKind::Manifest, { 2, 20 })->changes.empty());
 }
 
 struct ManifestCase
@@ -603,7 +603,7 @@
         continue;
       const auto changes = peer.ChangesSince(kind, known);
       if (changes)
-        asker.OnChanges(now_, kind, { known, set.revision, *changes });
+        asker.OnChanges(now_, kind, *changes);
       else
         asker.OnSnapshot(now_, kind, set);
     }
