Measure the pause of an instance from its answer

Statements/InstanceGetsNoRequestUntilItsPauseEnds failed once beside other suites: the VM used the instance again before the test took the pause for over. Log of that run: turned away at 54.993, used again at 56.493, which is the pause of 1.5 s. The test counted from the end of its own request, which another instance served after the retry, and which came up to 3 ms later.

The test now counts from the moment at which the instance answers: no VM can know of the pause before.

--- a/unittests/Platform/StatementsTest.cpp
+++ b/unittests/Platform/StatementsTest.cpp
@@ -169,14 +169,16 @@
                                 Case{ "Fri, 31 Dec 2027 23:59:59 GMT", 503, false } }) {
     StatementFixture fixture;
     StandInInstance* const home = fixture.home;
-    home->SetBehaviour([home, &testCase](const Request& aRequest) {
+    std::atomic<std::chrono::steady_clock::time_point> answeredAt;
+    home->SetBehaviour([home, &testCase, &answeredAt](const Request& aRequest) {
+      answeredAt = std::chrono::steady_clock::now();
       Reaction reaction = home->ShedReaction(aRequest);
       reaction.answer.result(testCase.status);
       reaction.answer.set("Retry-After", testCase.value);
       return reaction;
     });
     fixture.Send(http::verb::get, "/read/1", "turned away");
-    const auto end = std::chrono::steady_clock::now() + kPause;
+    const auto end = answeredAt.load() + kPause;
     home->SetBehaviour({});
     const bool usedAgain =
       GatewayFixture::WaitUntil([&] { return fixture.CountOfTenAtHome("later") > 0; });
