--- a/unittests/Platform/StoreEpochTest.cpp
+++ b/unittests/Platform/StoreEpochTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 
 namespace {
 
@@ -146,4 +147,23 @@
   cr_assert(not set.has_value() && set.error().epoch == 2U);
 }
 
+/// Guards against a list that ends early and so seems to show that the other objects are gone.
+Test(StoreList, ListThatCannotBeContinuedIsNotUsed)
+{
+  for (const char* const items : { "", R"({"spec":{}})", R"({"metadata":{"name":"i-1"}})" }) {
+    int calls = 0;
+    StandInServer server([&calls, items](const Request&) {
+      // Ends a client that asks for the same page without end.
+      const bool hasMore = ++calls < 10;
+      Response answer(http::status::ok, 11);
+      answer.body() = fmt::format(
+        R"({{"items":[{}],"has_more":{},"as_of":7}})", items, hasMore ? "true" : "false");
+      return Reaction{ .answer = std::move(answer) };
+    });
+    const auto set = RunCall<ObjectSet>(
+      server, [](StoreApi& aStore) { return aStore.list(ObjectKind::Instances); });
+    cr_assert(not set.has_value(), "%s", items);
+  }
+}
+
 } // namespace
