--- a/include/dragonflymoor/Steering/KnownObjects.h
+++ b/include/dragonflymoor/Steering/KnownObjects.h
@@ -60,14 +60,13 @@
   std::optional<std::set<std::string>> names;
 };
 
-/// The objects of one kind that a VM knows, and which of them changed when, for VMs that know an
+/// The objects of one kind that a VM knows, and when each of them changed, for VMs that know an
 /// earlier revision.
 ///
-/// Each object that is known at a revision is in the state that it has in the store at that
-/// revision or at a later one; so is each name without an object. Whatever is received at a later
-/// revision must preserve that, and what is sent to a VM at an earlier revision must bring about
-/// the same there. A change is therefore passed on also if it changed nothing here. Not
-/// thread-safe.
+/// Invariant: each object, and each name without an object, is in the state that it has in the
+/// store at the known revision or at a later one. The changes since an earlier revision bring a VM
+/// at that revision, which may know some later changes, into such a state too. They therefore
+/// contain changes that were none to the objects known here. Not thread-safe.
 class KnownObjects
 {
 public:
@@ -96,12 +95,12 @@
   std::vector<ObjectChange> ChangesTo(const ObjectSet& aSet) const;
   void AddRemoval(uint64_t aRevision, const std::string& aName);
 
-  /// The revision at which each object changed, or a later one, for those that have changed up to
-  /// the known revision. What a list has shown of later changes is repeated to this VM.
+  /// Has for each object the revision of its last change up to the known revision, or a later one.
+  /// Changes after the known revision are received again.
   ObjectSet set_;
   uint64_t changeCount_ = 0;
-  uint64_t removalsSince_ =
-    0; ///< All removals between this and the known revision are in removals_.
+  /// All removals after this revision and up to the known one are in removals_.
+  uint64_t removalsSince_ = 0;
   /// Names of removed objects, with the revision at which that was learnt.
   std::deque<std::pair<uint64_t, std::string>> removals_;
 };
--- a/lib/Steering/KnownObjects.cpp
+++ b/lib/Steering/KnownObjects.cpp
@@ -74,12 +74,12 @@
       changedAt[name] = previous->second;
       continue;
     }
-    // A content that differs under a revision that is known changed without a revision of its own.
+    // Reports of instances change their entries without a new revision.
     const bool hasRevision =
       stated != aSet.changedAt.end() && (!follows || stated->second > known.number);
     changedAt[name] = hasRevision ? stated->second : aSet.revision.number;
   }
-  // An object that was added and removed since the known revision is not among the changes.
+  // Objects that were added and removed since the known revision are not among the changes.
   if (!follows || known.number < aSet.revision.number) {
     removals_.clear();
     removalsSince_ = aSet.revision.number;
--- a/unittests/FleetState/FleetStateTest.cpp
+++ b/unittests/FleetState/FleetStateTest.cpp
@@ -6,7 +6,6 @@
 #include <criterion/new/assert.h>
 #include <criterion/parameterized.h>
 #include <csignal>
-#include <cstdlib>
 #include <fmt/format.h>
 #include <mutex>
 #include <numeric>
@@ -288,13 +287,6 @@
   }
 }
 
-uint64_t
-EnvironmentNumber(const char* aName, uint64_t aDefault)
-{
-  const char* const text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::stoull(text);
-}
-
 } // namespace
 
 ParameterizedTestParameters(FleetStateProcesses, ChangeBetweenPagesReachesAllVms)
--- a/unittests/Steering/KnownStateTest.cpp
+++ b/unittests/Steering/KnownStateTest.cpp
@@ -269,29 +269,47 @@
   }
 }
 
-/// Guards against VMs that never learn of a change that another VM has from a later page of a list.
-Test(KnownState, ChangeOnALaterPageReachesOtherVms)
+/// A VM that reads the store, one that asks it, and a store that holds "z" as before a change.
+struct ChangeFixture
 {
-  ForEachCase([](ObjectKind aKind, const ChangeCase& aChange, Way aWay, bool aStatesRevisions) {
-    HistoryStore store;
+  ChangeFixture(ObjectKind aKind, const ChangeCase& aChange, bool aStatesRevisions)
+    : kind(aKind)
+  {
     for (const char* const name : { "a", "b", "c" })
-      store.Write(aKind, name, "1");
-    store.Write(aKind, "z", aChange.before);
-    Node follower;
-    Node other;
-    follower.List(store, aKind, aStatesRevisions);
-    other.Ask(follower, aKind);
-    follower.List(store, aKind, aStatesRevisions, [&store, aKind, &aChange] {
-      store.Write(aKind, "z", aChange.after);
-    });
-    other.Ask(follower, aKind);
-    Learn(follower, store, aKind, aWay, aStatesRevisions);
-    other.Ask(follower, aKind);
-    cr_assert(other.Known(aKind) == store.ObjectsAt(store.Now(), aKind),
+      store.Write(kind, name, "1");
+    store.Write(kind, "z", aChange.before);
+    follower.List(store, kind, aStatesRevisions);
+  }
+
+  /// Fails unless the VM that asks comes to know what the store holds.
+  void Check(const ChangeCase& aChange, Way aWay)
+  {
+    other.Ask(follower, kind);
+    cr_assert(other.Known(kind) == store.ObjectsAt(store.Now(), kind),
               "%s, %s, way %d",
-              std::string(ToString(aKind)).c_str(),
+              std::string(ToString(kind)).c_str(),
               aChange.name,
               static_cast<int>(aWay));
+  }
+
+  ObjectKind kind;
+  HistoryStore store;
+  Node follower;
+  Node other;
+};
+
+/// Guards against VMs that never learn of a change that another VM has from a later page of a list.
+Test(KnownState, ChangeOnALaterPageReachesOtherVms)
+{
+  ForEachCase([](ObjectKind aKind, const ChangeCase& aChange, Way aWay, bool aStatesRevisions) {
+    ChangeFixture fixture(aKind, aChange, aStatesRevisions);
+    fixture.other.Ask(fixture.follower, aKind);
+    fixture.follower.List(fixture.store, aKind, aStatesRevisions, [&fixture, aKind, &aChange] {
+      fixture.store.Write(aKind, "z", aChange.after);
+    });
+    fixture.other.Ask(fixture.follower, aKind);
+    Learn(fixture.follower, fixture.store, aKind, aWay, aStatesRevisions);
+    fixture.Check(aChange, aWay);
   });
 }
 
@@ -299,23 +317,12 @@
 Test(KnownState, ChangeThatWasTakenBackReachesOtherVms)
 {
   ForEachCase([](ObjectKind aKind, const ChangeCase& aChange, Way aWay, bool aStatesRevisions) {
-    HistoryStore store;
-    for (const char* const name : { "a", "b", "c" })
-      store.Write(aKind, name, "1");
-    store.Write(aKind, "z", aChange.before);
-    Node follower;
-    Node other;
-    follower.List(store, aKind, aStatesRevisions);
-    store.Write(aKind, "z", aChange.after);
-    other.List(store, aKind, aStatesRevisions);
-    store.Write(aKind, "z", aChange.before);
-    Learn(follower, store, aKind, aWay, aStatesRevisions);
-    other.Ask(follower, aKind);
-    cr_assert(other.Known(aKind) == store.ObjectsAt(store.Now(), aKind),
-              "%s, %s, way %d",
-              std::string(ToString(aKind)).c_str(),
-              aChange.name,
-              static_cast<int>(aWay));
+    ChangeFixture fixture(aKind, aChange, aStatesRevisions);
+    fixture.store.Write(aKind, "z", aChange.after);
+    fixture.other.List(fixture.store, aKind, aStatesRevisions);
+    fixture.store.Write(aKind, "z", aChange.before);
+    Learn(fixture.follower, fixture.store, aKind, aWay, aStatesRevisions);
+    fixture.Check(aChange, aWay);
   });
 }
 
--- a/unittests/StoreReturn/ProcessFleet.cpp
+++ b/unittests/StoreReturn/ProcessFleet.cpp
@@ -28,6 +28,13 @@
 
 } // namespace
 
+uint64_t
+EnvironmentNumber(const char* aName, uint64_t aDefault)
+{
+  const char* const text = std::getenv(aName);
+  return text == nullptr ? aDefault : std::stoull(text);
+}
+
 ProcessFleet::ProcessFleet(const Endpoint& aStore, std::vector<std::string> aDomains)
   : store_(aStore)
   , domains_(std::move(aDomains))
--- a/unittests/StoreReturn/ProcessFleet.h
+++ b/unittests/StoreReturn/ProcessFleet.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYMOOR_UNITTESTS_STORERETURN_PROCESSFLEET_H
 
 #include "../Platform/GatewayFixture.h"
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -55,6 +56,10 @@
   std::vector<pid_t> pids_;
 };
 
+/// The number in a variable of the environment, aDefault without one.
+uint64_t
+EnvironmentNumber(const char* aName, uint64_t aDefault);
+
 } // namespace dfm::test
 
 #endif
--- a/unittests/StoreReturn/ProcessesTest.cpp
+++ b/unittests/StoreReturn/ProcessesTest.cpp
@@ -3,7 +3,6 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <criterion/parameterized.h>
-#include <cstdlib>
 #include <fmt/format.h>
 #include <numeric>
 #include <random>
@@ -106,13 +105,6 @@
   return steps;
 }
 
-uint64_t
-EnvironmentNumber(const char* aName, uint64_t aDefault)
-{
-  const char* const text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::stoull(text);
-}
-
 } // namespace
 
 ParameterizedTestParameters(StoreReturnProcesses, ChangesAfterAReturnAreInForce)
