--- a/review/rig-3/channels.hh
+++ b/review/rig-3/channels.hh
@@ -31,7 +31,7 @@
   for (unsigned number = 0; !aStop; ++number, Sleep(0.3)) {
     const double at = Now();
     const std::string id = "c" + std::to_string(aCaller) + "-" + std::to_string(number);
-    Socket socket = Socket::Connect(aAddress, Daemon::kCallers);
+    Socket socket = Socket::Connect(aAddress, Daemon::Callers());
     Message answer;
     ReadEnd end = ReadEnd::Closed;
     if (socket.IsOpen() &&
@@ -53,7 +53,7 @@
 inline void
 CheckReadiness(const std::string& aAddress, Record& aRecord, const std::atomic<bool>& aStop)
 {
-  Socket socket = Socket::Connect(aAddress, Daemon::kReadiness);
+  Socket socket = Socket::Connect(aAddress, Daemon::Readiness());
   for (; !aStop; Sleep(1)) {
     Message answer;
     const bool ready = socket.Send("GET /ready HTTP/1.1\r\nHost: vm\r\n\r\n") &&
--- a/review/rig-3/memory.hh
+++ b/review/rig-3/memory.hh
@@ -72,7 +72,7 @@
   for (unsigned number = 0; !aStop; ++number, Sleep(0.1)) {
     const std::string& address = aMachine.daemon->options.address;
     if (!socket.IsOpen())
-      socket = Socket::Connect(address, Daemon::kCallers);
+      socket = Socket::Connect(address, Daemon::Callers());
     const std::string id = aMachine.daemon->options.name + "-" + std::to_string(number);
     Message answer;
     const bool whole =
@@ -162,7 +162,7 @@
       for (size_t i = 0; Trouble() && i < machines.size(); ++i) {
         for (unsigned client = 0; client < aCrowd.clients; ++client)
           crowds[i].push_back({ .socket = Socket::Connect(machines[i].daemon->options.address,
-                                                          Daemon::kCallers) });
+                                                          Daemon::Callers()) });
         aRecord.Line("round %d: %u clients connected to %s and now send %s",
                      round,
                      aCrowd.clients,
--- a/review/rig-3/rig.hh
+++ b/review/rig-3/rig.hh
@@ -693,6 +693,35 @@
          "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
 }
 
+/// The first of eight ports in a row that are free on all addresses, below those that the system gives
+/// to outgoing connections. All machines use the same ports.
+inline unsigned
+FirstPort()
+{
+  static const unsigned first = [] {
+    constexpr unsigned kPorts = 8;
+    for (unsigned i = 0; i < 1000; ++i) {
+      const unsigned candidate = 12000 + (static_cast<unsigned>(::getpid()) + i) % 2000 * kPorts;
+      bool free = true;
+      for (unsigned port = candidate; free && port < candidate + kPorts; ++port) {
+        for (const int type : { SOCK_STREAM, SOCK_DGRAM }) {
+          const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+          const sockaddr_in address = ToSocketAddress("0.0.0.0", port);
+          free = free && ::bind(descriptor,
+                                reinterpret_cast<const sockaddr*>(&address),
+                                sizeof(address)) == 0;
+          ::close(descriptor);
+        }
+      }
+      if (free)
+        return candidate;
+    }
+    std::fprintf(stderr, "no free ports\n");
+    Exit(2);
+  }();
+  return first;
+}
+
 /// One entry VM: the daemon in a process of its own, with the settings that deploy/settings.json
 /// gives on a small deployment.
 class Daemon
@@ -710,25 +739,31 @@
     unsigned maxDescriptors = 4100;
   };
 
-  static constexpr unsigned kCallers = 8548;
-  static constexpr unsigned kReadiness = 8542;
-  static constexpr unsigned kDirectory = 8546;
+  static unsigned Callers() { return FirstPort(); }
+  static unsigned Readiness() { return FirstPort() + 1; }
+  static unsigned Operators() { return FirstPort() + 2; }
+  static unsigned Directory() { return FirstPort() + 3; }
+  static unsigned FirstOfVms() { return FirstPort() + 4; }
 
   Daemon(Options aOptions, const std::string& aFolder)
     : options(std::move(aOptions))
     , folder_(aFolder)
   {
     std::ofstream settings(folder_ + "/" + options.name + ".json");
+    const auto address = [this](unsigned aPort) {
+      return "\"" + options.address + ":" + std::to_string(aPort) + "\"";
+    };
     std::string seeds;
     for (const std::string& seed : options.seeds)
-      seeds += (seeds.empty() ? "\"" : ",\"") + seed + ":8544\"";
+      seeds += (seeds.empty() ? "\"" : ",\"") + seed + ":" + std::to_string(FirstOfVms()) + "\"";
     settings << "{\"vm\":\"" << options.name << "\",\"region\":\"gauteng\",\"failureDomain\":\""
              << options.zone << "\",\"failureDomains\":{\"jhb-a\":\"gauteng\",\"jhb-b\":\"gauteng\"}"
-             << ",\"address\":\"" << options.address << "\",\"callers\":\"" << options.address
-             << ":8548\",\"readiness\":\"" << options.address << ":8542\",\"directory\":\""
-             << options.address << ":8546\",\"operators\":\"" << options.address
-             << ":9464\",\"vmPorts\":{\"first\":7540,\"last\":7555},\"seeds\":[" << seeds
-             << "],\"store\":\"" << options.storeAddress << ":" << options.storePort
+             << ",\"address\":\"" << options.address << "\",\"callers\":" << address(Callers())
+             << ",\"readiness\":" << address(Readiness()) << ",\"directory\":"
+             << address(Directory()) << ",\"operators\":" << address(Operators())
+             << ",\"vmPorts\":{\"first\":" << FirstOfVms() << ",\"last\":" << FirstOfVms() + 3
+             << "},\"seeds\":[" << seeds << "],\"store\":\"" << options.storeAddress << ":"
+             << options.storePort
              << "\",\"stopSeconds\":6,\"directoryTtlSeconds\":1,\"retryRatio\":0.2,"
              << "\"retrySlack\":58,\"instanceReportSeconds\":1.5,\"maxShift\":0.15,"
              << "\"memoryMegabytes\":" << options.memoryMegabytes
@@ -797,7 +832,7 @@
   }
   bool IsReady() const
   {
-    Socket socket = Socket::Connect(options.address, kReadiness);
+    Socket socket = Socket::Connect(options.address, Readiness());
     Message answer;
     return socket.IsOpen() && socket.Send("GET /ready HTTP/1.1\r\nHost: vm\r\n\r\n") &&
            ReadMessage(socket, answer, 1) == ReadEnd::Whole && answer.Status() == 200;
