--- a/review/rig-3/rig.hh
+++ b/review/rig-3/rig.hh
@@ -136,16 +136,11 @@
   static Socket Connect(const std::string& aAddress,
                         unsigned aPort,
                         double aTimeout = 1,
-                        const std::string& aFrom = {},
                         int aReceiveBytes = 0)
   {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
       return {};
-    if (!aFrom.empty()) {
-      const sockaddr_in from = ToSocketAddress(aFrom, 0);
-      ::bind(descriptor, reinterpret_cast<const sockaddr*>(&from), sizeof(from));
-    }
     if (aReceiveBytes > 0)
       ::setsockopt(
         descriptor, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof(aReceiveBytes));
@@ -410,11 +405,6 @@
     const std::scoped_lock lock(mutex_);
     Change(aKind, aName, &aSpec);
   }
-  void Remove(const std::string& aKind, const std::string& aName)
-  {
-    const std::scoped_lock lock(mutex_);
-    Change(aKind, aName, nullptr);
-  }
 
 private:
   struct Event
@@ -595,31 +585,14 @@
   }
   unsigned Port() const { return server_.Port(); }
   unsigned Runs() const { return runs_; }
-  /// Crashes: resets its channels, and its port refuses new ones.
-  void Crash()
-  {
-    crashed_ = true;
-    server_.Stop();
-  }
-
   const Options options;
 
 private:
   void Serve(Socket aSocket)
   {
     Message request;
-    for (;;) {
-      ReadEnd end = ReadEnd::TimedOut;
-      while (end == ReadEnd::TimedOut && !crashed_)
-        end = ReadMessage(aSocket, request, 0.05);
-      if (crashed_) {
-        const linger reset{ 1, 0 };
-        ::setsockopt(aSocket.Descriptor(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-        return;
-      }
-      if (end != ReadEnd::Whole || !Reply(aSocket, request))
-        return;
-    }
+    while (ReadMessage(aSocket, request, 3600) == ReadEnd::Whole && Reply(aSocket, request))
+      continue;
   }
 
   bool Reply(Socket& aSocket, const Message& aRequest)
@@ -650,7 +623,6 @@
   Record& record_;
   long long born_ = 0;
   std::atomic<unsigned> runs_ = 0;
-  std::atomic<bool> crashed_ = false;
   Server server_; // Last: serves as soon as it exists.
 };
 
@@ -807,11 +779,6 @@
       pid_ = 0;
     return pid_ > 0;
   }
-  void Signal(int aSignal)
-  {
-    if (IsAlive())
-      ::kill(pid_, aSignal);
-  }
   void End(int aSignal)
   {
     if (!IsAlive())
