--- a/review/rig-3/rig.hh
+++ b/review/rig-3/rig.hh
@@ -665,8 +665,8 @@
          "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
 }
 
-/// The first of eight ports in a row that are free on all addresses, below those that the system gives
-/// to outgoing connections. All machines use the same ports.
+/// The first of eight ports in a row that are free on the first machine's address, below those that the
+/// system gives to outgoing connections. All machines use the same ports.
 inline unsigned
 FirstPort()
 {
@@ -678,7 +678,7 @@
       for (unsigned port = candidate; free && port < candidate + kPorts; ++port) {
         for (const int type : { SOCK_STREAM, SOCK_DGRAM }) {
           const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-          const sockaddr_in address = ToSocketAddress("0.0.0.0", port);
+          const sockaddr_in address = ToSocketAddress(Address(1), port);
           free = free && ::bind(descriptor,
                                 reinterpret_cast<const sockaddr*>(&address),
                                 sizeof(address)) == 0;
