Require keys where the list of workspaces is empty

Cause: Manifest had one form, an empty list, for "says nothing of workspaces" and "has no workspace". IdentifyCaller and PrepareMessage read it as the first. The log ruled out a version that is late or not taken: "manifest in force" showed version=9 with workspaces=0, and "attempt" manifest=9. It could not tell the two forms apart; it now has callers_need_keys.

Change: Manifest::needsKeys, true unless the field is missing. "If the manifest contains `tenants`, a request carries a key": null is contained, so it is read as an empty list and reported as a problem. The check and its diff tell an operator that all callers get 401 before the version is in force; the row of CheckReport/TellsWhatChangesForCallers that expected "need no key" for an empty list stated the fault and now holds for a missing list only.

Test: Identity/EmptyListsOfWorkspacesOpenNoRoute, Identity/IdentifiesCallers (with the two conditions put back, both fail) and Objects/OnlyAMissingListOfWorkspacesNeedsNoKeys.

--- a/include/dragonflymoor/Check/ManifestCheck.h
+++ b/include/dragonflymoor/Check/ManifestCheck.h
@@ -31,6 +31,7 @@
 {
   None, ///< The part itself.
   Version,
+  Workspaces,
   Name,
   Host,
   PathPrefix,
--- a/include/dragonflymoor/Gateway/Identity.h
+++ b/include/dragonflymoor/Gateway/Identity.h
@@ -21,9 +21,9 @@
   auto operator<=>(const CallerIdentity&) const = default;
 };
 
-/// Identifies the caller of a request on aRoute by the manifest in force. A manifest without
-/// workspaces, and a public route, need no key; a known key on a public route still tells the
-/// workspace. Precondition: aRoute is a route of aRoutes. Thread-safe.
+/// Identifies the caller of a request on aRoute by the manifest in force. A public route needs no
+/// key; a known key still tells the workspace. Without Manifest::needsKeys no route needs a key.
+/// Precondition: aRoute is a route of aRoutes. Thread-safe.
 CallerIdentity
 IdentifyCaller(const RouteIndex& aRoutes, const Route& aRoute, const CallerCredential& aCredential);
 
--- a/include/dragonflymoor/Steering/Manifest.h
+++ b/include/dragonflymoor/Steering/Manifest.h
@@ -89,7 +89,8 @@
   uint64_t version = 0;
   std::vector<Route> routes;
   std::map<ServiceId, ServiceSpec> services;
-  /// Empty when callers need no key at all.
+  /// Whether callers of routes that are not public need a key, also when no workspace has one.
+  bool needsKeys = true;
   std::vector<Workspace> workspaces;
   CallerLimits limits;
   /// Invalid parts, which are left out or refuse their requests. The rest is served.
--- a/lib/Check/ManifestCheck.cpp
+++ b/lib/Check/ManifestCheck.cpp
@@ -206,7 +206,7 @@
         fmt::format("service {}, for which a rate is needed, is not declared", aService.Value()));
       return;
     }
-    if (manifest_.workspaces.empty())
+    if (!manifest_.needsKeys)
       return;
     const std::vector<const Route*> routes = RoutesOf(aService);
     double quotas = 0;
@@ -269,6 +269,11 @@
 
   void CheckWorkspaces()
   {
+    if (manifest_.needsKeys && manifest_.workspaces.empty())
+      Warn(ManifestPart::Whole,
+           0,
+           ManifestField::Workspaces,
+           "are empty; all callers get 401 on routes that are not public");
     std::set<WorkspaceId> names;
     for (size_t i = 0; i < manifest_.workspaces.size(); ++i) {
       const Workspace& workspace = manifest_.workspaces[i];
--- a/lib/Check/ManifestDiff.cpp
+++ b/lib/Check/ManifestDiff.cpp
@@ -275,14 +275,21 @@
   Compare(limits, "time without a request", before.idleTimeout, after.idleTimeout, Seconds);
   if (!limits.empty())
     aChanges.push_back({ ChangeKind::Changed, ManifestPart::Limits, "", std::move(limits) });
-  // Without workspaces nobody is asked for a key.
-  if (aInForce.workspaces.empty() != aNew.workspaces.empty())
+  if (aInForce.needsKeys != aNew.needsKeys)
     aChanges.push_back(
       { ChangeKind::Changed,
         ManifestPart::Whole,
         "",
-        { aNew.workspaces.empty() ? "callers need no key on any route"
-                                  : "callers need a key on all routes that are not public" } });
+        { aNew.needsKeys ? "callers need a key on all routes that are not public"
+                         : "callers need no key on any route; instances get the keys that callers "
+                           "still send" } });
+  if (aNew.needsKeys && aNew.workspaces.empty() &&
+      (!aInForce.needsKeys || !aInForce.workspaces.empty()))
+    aChanges.push_back(
+      { ChangeKind::Changed,
+        ManifestPart::Whole,
+        "",
+        { "no workspace is left: all callers get 401 on routes that are not public" } });
 }
 
 } // namespace
@@ -309,9 +316,9 @@
     NewWorkspaceEffects,
     [&aNew](const Workspace& aWorkspace) {
       const size_t keys = KeysOf(aWorkspace).size();
-      return Effects{ aNew.workspaces.empty()
-                        ? fmt::format("keys withdrawn: {}", keys)
-                        : fmt::format("keys withdrawn: {}; callers with them get 401", keys) };
+      return Effects{ aNew.needsKeys
+                        ? fmt::format("keys withdrawn: {}; callers with them get 401", keys)
+                        : fmt::format("keys withdrawn: {}", keys) };
     });
   DiffWhole(changes, aInForce, aNew);
   return changes;
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -154,7 +154,7 @@
 {
   RemoveConnectionHeaders(aRequest.message);
   aRequest.message.erase(http::field::expect);
-  if (!aRequest.routes->GetManifest().workspaces.empty())
+  if (aRequest.routes->GetManifest().needsKeys)
     protocol_.writeIdentity(aRequest.message,
                             aRequest.workspace == nullptr ? nullptr : &aRequest.workspace->id);
   const SegmentedBytes& body = *aRequest.message.body();
--- a/lib/Gateway/FleetSync.cpp
+++ b/lib/Gateway/FleetSync.cpp
@@ -61,6 +61,7 @@
               { "routes", std::to_string(aManifest.routes.size()) },
               { "services", std::to_string(aManifest.services.size()) },
               { "workspaces", std::to_string(aManifest.workspaces.size()) },
+              { "callers_need_keys", aManifest.needsKeys ? "yes" : "no" },
               { "problems", FormatFindings(aManifest.problems) } });
         aMetrics.SetGauge("manifest_problems", static_cast<double>(aManifest.problems.size()));
       },
--- a/lib/Gateway/Identity.cpp
+++ b/lib/Gateway/Identity.cpp
@@ -8,7 +8,7 @@
   using Verdict = CallerIdentity::Verdict;
   if (aRoute.invalid)
     return { .verdict = Verdict::Unavailable };
-  if (aRoutes.GetManifest().workspaces.empty())
+  if (!aRoutes.GetManifest().needsKeys)
     return {};
   const Workspace* const workspace = aCredential.kind == CallerCredential::Kind::Key
                                        ? aRoutes.FindWorkspace(aCredential.key)
--- a/unittests/Platform/CheckReportTest.cpp
+++ b/unittests/Platform/CheckReportTest.cpp
@@ -104,6 +104,8 @@
   { "/routes", "3", kError, "manifest.routes", "array" },
   { "/services", "", kError, "manifest.services", "array" },
   { "/tenants", "{}", kError, "manifest.tenants", "array" },
+  { "/tenants", "null", kError, "manifest.tenants", "null is read as an empty one" },
+  { "/tenants", "[]", kWarning, "manifest.tenants", "all callers get 401" },
   { "/limits/idle_timeout_s", "-1", kError, "manifest.limits.idle_timeout_s", "number" },
   { "/routes/0", "7", kError, "manifest.routes[0]", "object" },
   { "/routes/0/host", "", kError, "manifest.routes[0].host", "non-empty" },
@@ -275,7 +277,10 @@
     { "/tenants/0/rate_per_s", "0", Changed, "karoo", "5 requests/s -> no limit" },
     { "/tenants/0/api_keys/1", "\"secret-3\"", Changed, "karoo", "keys withdrawn: 1" },
     { "/tenants/0/priority", "1", Changed, "karoo", "that of the route -> 1" },
-    { "/tenants", "[]", Changed, "", "need no key on any route" },
+    { "/tenants", "", Changed, "", "need no key on any route" },
+    { "/tenants", "[]", Changed, "", "no workspace is left: all callers get 401" },
+    { "/tenants", "[]", Removed, "knysna", "callers with them get 401" },
+    { "/tenants", "null", Changed, "", "no workspace is left: all callers get 401" },
     { "/limits/max_body_bytes", "5", Changed, "", "bytes of a body: 1000 -> 5" },
   };
   for (const ChangeRow& row : kRows) {
--- a/unittests/Platform/IdentityTest.cpp
+++ b/unittests/Platform/IdentityTest.cpp
@@ -62,7 +62,8 @@
                           { .id = WorkspaceId("w2"), .keys = { "k2", "shared" } },
                           { .id = WorkspaceId("w3"), .keys = { "k3" }, .invalid = true } };
   const RouteIndex routes(std::make_shared<const Manifest>(manifest));
-  const RouteIndex open(std::make_shared<const Manifest>());
+  const RouteIndex open(std::make_shared<const Manifest>(Manifest{ .needsKeys = false }));
+  const RouteIndex closed(std::make_shared<const Manifest>());
   static const IdentityRow kRows[] = {
     { "k1", false, Verdict::Accepted, "w1" },       { "k2", false, Verdict::Accepted, "w2" },
     { "k1", true, Verdict::Accepted, "w1" },        { "k3", false, Verdict::Unavailable, nullptr },
@@ -81,27 +82,91 @@
       identity.workspace == nullptr ? WorkspaceId() : identity.workspace->id;
     cr_assert(found == (row.workspace == nullptr ? WorkspaceId() : WorkspaceId(row.workspace)));
     cr_assert(IdentifyCaller(open, route, credential) == CallerIdentity{});
+    cr_assert(IdentifyCaller(closed, route, credential).verdict ==
+              (row.isPublic ? Verdict::Accepted : Verdict::Unknown));
   }
   cr_assert(IdentifyCaller(open, { .invalid = true }, {}).verdict == Verdict::Unavailable);
 }
 
+class KeyFixture : public GatewayFixture
+{
+public:
+  test::Request KeyRequest(const std::string& aTarget,
+                           const std::string& aKey,
+                           const std::string& aId) const
+  {
+    test::Request request(http::verb::get, aTarget, 11);
+    request.set(http::field::host, "shop.example");
+    request.set("X-Request-Id", aId);
+    request.set("X-Deadline-Ms", "5000");
+    request.set(kAuthorization, "Bearer " + aKey);
+    request.set("X-Tenant", "other");
+    return request;
+  }
+
+  /// Status of the answer; 0 without one.
+  unsigned StatusFor(const std::string& aTarget, const std::string& aKey, const std::string& aId)
+  {
+    const auto answer =
+      test::SendAndReceive(Settings().self.callers, KeyRequest(aTarget, aKey, aId));
+    return answer ? answer->result_int() : 0;
+  }
+
+  /// Puts a manifest with a route that needs a key, "/read/", and a public one, "/open/".
+  /// aWorkspaces is the list of workspaces in JSON; empty for none.
+  void PutManifest(unsigned aVersion, const std::string& aWorkspaces)
+  {
+    test::json::value spec = test::ManifestSpec(
+      aVersion, { {}, { .name = "open", .prefix = "/open/", .service = "reader" } });
+    spec.at_pointer("/routes/1").as_object()["public"] = true;
+    if (!aWorkspaces.empty())
+      spec.as_object()["tenants"] = test::json::parse(aWorkspaces);
+    Store().Put("config", "main", spec);
+  }
+};
+
+constexpr const char* kOneWorkspace = R"([{"name": "w1", "api_keys": ["held"]}])";
+
+/// Guards against a list of workspaces that an edit leaves empty and that opens all routes, for
+/// VMs that run and for VMs that start with it.
+Test(Identity, EmptyListsOfWorkspacesOpenNoRoute)
+{
+  for (const std::string empty : { "[]", "null" }) {
+    for (const bool startsWithIt : { false, true }) {
+      KeyFixture fixture;
+      test::StandInInstance instance("i-1");
+      fixture.Store().Put("servers", "i-1", test::InstanceSpec(instance, "reader"));
+      fixture.PutManifest(1, startsWithIt ? empty : kOneWorkspace);
+      fixture.Start();
+      if (!startsWithIt) {
+        cr_assert(fixture.StatusFor("/read/x", "held", "before-1") == 200);
+        cr_assert(fixture.StatusFor("/read/x", "never", "before-2") == 401);
+        fixture.PutManifest(2, empty);
+        cr_assert(GatewayFixture::WaitUntil(
+          [&fixture] { return fixture.StatusFor("/read/x", "held", "switch") == 401; }));
+      }
+      cr_assert(fixture.StatusFor("/read/x", "held", "after-1") == 401);
+      cr_assert(fixture.StatusFor("/read/x", "never", "after-2") == 401);
+      cr_assert(fixture.StatusFor("/open/x", "held", "after-3") == 200);
+      for (const test::Request& request : instance.ReceivedRequests()) {
+        cr_assert(request.count(http::field::authorization) == 0);
+        cr_assert(request["X-Tenant"] != "other");
+      }
+    }
+  }
+}
+
 /// Guards against a key that reaches an instance, against a workspace's name that the caller chose,
 /// and against a withdrawn key that is accepted.
 Test(Identity, InstancesGetTheWorkspaceInPlaceOfTheKey)
 {
   using dfm::test::ManifestSpec;
-  class Fixture : public GatewayFixture
+  class Fixture : public KeyFixture
   {
   public:
     std::optional<test::Response> SendWithKey(const std::string& aKey, const std::string& aId)
     {
-      test::Request request(http::verb::get, "/read/x", 11);
-      request.set(http::field::host, "shop.example");
-      request.set("X-Request-Id", aId);
-      request.set("X-Deadline-Ms", "5000");
-      request.set(kAuthorization, "Bearer " + aKey);
-      request.set("X-Tenant", "other");
-      return test::SendAndReceive(Settings().self.callers, request);
+      return test::SendAndReceive(Settings().self.callers, KeyRequest("/read/x", aKey, aId));
     }
   } fixture;
   test::StandInInstance instance("i-1");
--- a/unittests/Platform/ObjectsTest.cpp
+++ b/unittests/Platform/ObjectsTest.cpp
@@ -213,6 +213,21 @@
   }
 }
 
+/// Guards against a manifest that contains the list of workspaces, in any form, and needs no keys.
+Test(Objects, OnlyAMissingListOfWorkspacesNeedsNoKeys)
+{
+  json::value value = ValidManifest();
+  json::object& spec = value.as_object()["spec"].as_object();
+  spec.erase("tenants");
+  cr_assert(not DecodeManifest(json::serialize(value))->needsKeys);
+  for (const char* list : { "[]", "null", "[null]", "[{}]", "[[]]" }) {
+    spec["tenants"] = json::parse(list);
+    const auto manifest = DecodeManifest(json::serialize(value));
+    cr_assert(manifest.has_value() && manifest->needsKeys);
+    cr_assert(manifest->problems.empty() == (std::string(list) == "[]"));
+  }
+}
+
 /// Guards against an entry of another writer that is taken for an instance.
 Test(Objects, DecodesOnlyValidInstances)
 {
