Refuse parts whose home regions are null

An edit that set "home_regions" to null was read as one that has no homes: the route or workspace was served in all regions, where the version before allowed one.

"A route or tenant with `home_regions` may be served, cached and stored only in those regions." The platform's examples write [] for a part without homes; null is in none of them and states no region. The part is invalid now and its requests get 503, as for any other value that cannot be read; so is an empty name of a region.

Test: rows in Objects/InvalidPartsLeaveTheOthersInForce, Objects/DecodesWorkspaces and CheckReport. The field's map of rows became a list, to hold several forms of one field.

--- a/unittests/Platform/CheckReportTest.cpp
+++ b/unittests/Platform/CheckReportTest.cpp
@@ -138,6 +138,8 @@
   { "/routes/0/timeout_s", "11", kWarning, "manifest.routes[0].timeout_s", "10 s that callers" },
   { "/routes/0/attempts", "4", kWarning, "manifest.routes[0].attempts", "3 repeats" },
   { "/routes/0/home_regions", "[\"east\"]", kWarning, "manifest.routes[0].home_regions", "east" },
+  { "/routes/0/home_regions", "null", kError, "manifest.routes[0].home_regions", "array" },
+  { "/tenants/1/home_regions", "null", kError, "manifest.tenants[1].home_regions", "array" },
   { "/routes/1/split/1/weight",
     "0",
     kWarning,
--- a/unittests/Platform/ObjectsTest.cpp
+++ b/unittests/Platform/ObjectsTest.cpp
@@ -124,6 +124,10 @@
       } },
     { "backend", [&](json::object& aSpec) { secondRoute(aSpec)["backend"] = "unknown"; } },
     { "route_type", [&](json::object& aSpec) { secondRoute(aSpec).erase("route_type"); } },
+    { "home_regions", [&](json::object& aSpec) { secondRoute(aSpec)["home_regions"] = nullptr; } },
+    { "home_regions", [&](json::object& aSpec) { secondRoute(aSpec)["home_regions"] = "north"; } },
+    { "public", [&](json::object& aSpec) { secondRoute(aSpec)["public"] = "false"; } },
+    { "attempts", [&](json::object& aSpec) { secondRoute(aSpec)["attempts"] = nullptr; } },
     { "backend", [](json::object& aSpec) { aSpec["services"].at(2).as_object().erase("name"); } },
   };
   for (const InvalidPart& row : kRouteRows) {
@@ -198,11 +202,17 @@
   json::object& first =
     value.as_object()["spec"].as_object()["tenants"].as_array().at(0).as_object();
   for (const auto& [field, invalid] :
-       std::map<std::string, json::value>{ { "name", 5 },
-                                           { "api_keys", json::array{ "" } },
-                                           { "rate_per_s", -1 },
-                                           { "home_regions", json::array{ 7 } },
-                                           { "priority", "high" } }) {
+       std::vector<std::pair<std::string, json::value>>{ { "name", 5 },
+                                                         { "api_keys", json::array{ "" } },
+                                                         { "rate_per_s", -1 },
+                                                         { "home_regions", json::array{ 7 } },
+                                                         { "home_regions", json::array{ "" } },
+                                                         { "home_regions", nullptr },
+                                                         { "home_regions", "north" },
+                                                         { "rate_per_s", nullptr },
+                                                         { "burst", nullptr },
+                                                         { "api_keys", nullptr },
+                                                         { "priority", "high" } }) {
     const json::value valid = first[field];
     first[field] = invalid;
     manifest = DecodeManifest(json::serialize(value));
