Refuse the requests of routes without a readable host or prefix

A route whose host or prefix was missing, null or not valid, or whose prefix lacked the leading slash, was left out. Its requests fell to a shorter prefix of the host: to another service, without a key where that route is public, and in regions that are not its homes.

Such a route is kept apart as unplaced and refuses, with 503, each request that could be its own: all of its host when the prefix is unknown, those of its prefix on all hosts when the host is unknown, unless a longer prefix is certain. An entry with neither could own any request; the version is rejected and the one in force stays.

--- a/include/dragonflymoor/Steering/Manifest.h
+++ b/include/dragonflymoor/Steering/Manifest.h
@@ -88,6 +88,9 @@
 {
   uint64_t version = 0;
   std::vector<Route> routes;
+  /// Invalid routes without a readable host or path prefix, which is empty then: any request that
+  /// could be theirs is refused as not run. Each has one of the two.
+  std::vector<Route> unplacedRoutes;
   std::map<ServiceId, ServiceSpec> services;
   /// Whether callers of routes that are not public need a key, also when no workspace has one.
   bool needsKeys = true;
@@ -105,7 +108,8 @@
 public:
   explicit RouteIndex(std::shared_ptr<const Manifest> aManifest);
 
-  /// Returns the route of aHost with the longest path prefix that matches aPath, or null. A port in
+  /// Returns the route of aHost with the longest path prefix that matches aPath, or null. An
+  /// unplaced route is returned where it could have a prefix that is at least as long. A port in
   /// aHost and the case of its letters are ignored. The route lives as long as the manifest.
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
 
@@ -121,6 +125,9 @@
 
 private:
   const std::vector<const Route*>* FindHostRoutes(std::string_view aHost) const;
+  const Route* FindUnplaced(std::string_view aHost,
+                            std::string_view aPath,
+                            const Route* aPlaced) const;
 
   std::shared_ptr<const Manifest> manifest_;
   /// Routes of each host, longest prefix first.
--- a/lib/Check/ManifestDiff.cpp
+++ b/lib/Check/ManifestDiff.cpp
@@ -263,6 +263,18 @@
   return workspaces;
 }
 
+std::string
+RefusedBy(const Route& aUnplaced)
+{
+  if (aUnplaced.pathPrefix.empty())
+    return fmt::format("all requests to host {} get 503: route {} has no readable path prefix",
+                       aUnplaced.host,
+                       aUnplaced.name);
+  return fmt::format("requests to {} of all hosts get 503: route {} has no readable host",
+                     aUnplaced.pathPrefix,
+                     aUnplaced.name);
+}
+
 void
 DiffWhole(std::vector<ManifestChange>& aChanges, const Manifest& aInForce, const Manifest& aNew)
 {
@@ -275,6 +287,11 @@
   Compare(limits, "time without a request", before.idleTimeout, after.idleTimeout, Seconds);
   if (!limits.empty())
     aChanges.push_back({ ChangeKind::Changed, ManifestPart::Limits, "", std::move(limits) });
+  for (const Route& route : aNew.unplacedRoutes) {
+    if (std::find(aInForce.unplacedRoutes.begin(), aInForce.unplacedRoutes.end(), route) ==
+        aInForce.unplacedRoutes.end())
+      aChanges.push_back({ ChangeKind::Changed, ManifestPart::Whole, "", { RefusedBy(route) } });
+  }
   if (aInForce.needsKeys != aNew.needsKeys)
     aChanges.push_back(
       { ChangeKind::Changed,
--- a/lib/Steering/Manifest.cpp
+++ b/lib/Steering/Manifest.cpp
@@ -62,12 +62,30 @@
 const Route*
 RouteIndex::Find(std::string_view aHost, std::string_view aPath) const
 {
-  const auto* routes = FindHostRoutes(aHost);
-  if (routes == nullptr)
+  const Route* placed = nullptr;
+  if (const auto* routes = FindHostRoutes(aHost)) {
+    const auto found = std::find_if(routes->begin(), routes->end(), [&](const Route* aRoute) {
+      return aPath.starts_with(aRoute->pathPrefix);
+    });
+    placed = found == routes->end() ? nullptr : *found;
+  }
+  const Route* const unplaced = FindUnplaced(aHost, aPath, placed);
+  return unplaced == nullptr ? placed : unplaced;
+}
+
+const Route*
+RouteIndex::FindUnplaced(std::string_view aHost, std::string_view aPath, const Route* aPlaced) const
+{
+  if (manifest_->unplacedRoutes.empty())
     return nullptr;
-  for (const Route* route : *routes) {
-    if (aPath.starts_with(route->pathPrefix))
-      return route;
+  const std::string host = NormalizeHost(aHost);
+  for (const Route& route : manifest_->unplacedRoutes) {
+    const bool couldMatch = (route.host.empty() || NormalizeHost(route.host) == host) &&
+                            aPath.starts_with(route.pathPrefix);
+    const bool couldBeLongest = route.pathPrefix.empty() || aPlaced == nullptr ||
+                                route.pathPrefix.size() >= aPlaced->pathPrefix.size();
+    if (couldMatch && couldBeLongest)
+      return &route;
   }
   return nullptr;
 }
--- a/unittests/Platform/ObjectsTest.cpp
+++ b/unittests/Platform/ObjectsTest.cpp
@@ -64,6 +64,9 @@
     [](json::object& aSpec) { aSpec["version"] = 7; },
     [](json::object& aSpec) { aSpec.erase("routes"); },
     [](json::object& aSpec) { aSpec["routes"] = 3; },
+    [](json::object& aSpec) { aSpec["routes"] = nullptr; },
+    [](json::object& aSpec) { aSpec["routes"].as_array().push_back(nullptr); },
+    [](json::object& aSpec) { aSpec["routes"].as_array().push_back(json::object{}); },
     [](json::object& aSpec) { aSpec["services"] = 3; },
     [](json::object& aSpec) { aSpec["tenants"] = "all"; },
   };
@@ -104,7 +107,8 @@
 };
 
 /// Guards against one invalid part that puts the whole manifest out of force, and against requests
-/// of an invalid route that reach another service through a shorter prefix.
+/// of an invalid route that reach another service through a shorter prefix, also when the host or
+/// the prefix of the route cannot be read.
 Test(Objects, InvalidPartsLeaveTheOthersInForce)
 {
   const auto secondRoute = [](json::object& aSpec) -> json::object& {
@@ -143,9 +147,28 @@
     cr_assert(not routes.Find("shop.example", "/a/x")->invalid);
     cr_assert(routes.Find("shop.example", "/a/b/x")->invalid);
   }
-  const std::vector<InvalidPart> kLeftOutRows{
+  const std::vector<InvalidPart> kUnplacedRows{
     { "host", [&](json::object& aSpec) { secondRoute(aSpec).erase("host"); } },
+    { "host", [&](json::object& aSpec) { secondRoute(aSpec)["host"] = nullptr; } },
+    { "host", [&](json::object& aSpec) { secondRoute(aSpec)["host"] = ""; } },
     { "path_prefix", [&](json::object& aSpec) { secondRoute(aSpec).erase("path_prefix"); } },
+    { "path_prefix", [&](json::object& aSpec) { secondRoute(aSpec)["path_prefix"] = 7; } },
+    { "path_prefix", [&](json::object& aSpec) { secondRoute(aSpec)["path_prefix"] = "a/b/"; } },
+  };
+  for (const InvalidPart& row : kUnplacedRows) {
+    json::value value = ManifestWithSecondParts();
+    row.change(value.as_object()["spec"].as_object());
+    const auto manifest = DecodeManifest(json::serialize(value));
+    cr_assert(manifest.has_value());
+    cr_assert(manifest->problems.at(0).place.ends_with(row.place));
+    const RouteIndex routes(std::make_shared<const Manifest>(*manifest));
+    cr_assert(routes.Find("shop.example", "/a/b/x")->invalid);
+    const bool hostIsKnown = std::string_view(row.place) == "path_prefix";
+    cr_assert(routes.Find("shop.example", "/a/x")->invalid == hostIsKnown);
+    const Route* other = routes.Find("other.example", "/a/b/x");
+    cr_assert(hostIsKnown ? other == nullptr : other->invalid);
+  }
+  const std::vector<InvalidPart> kLeftOutRows{
     { "limits", [](json::object& aSpec) { aSpec["limits"] = "none"; } },
   };
   for (const InvalidPart& row : kLeftOutRows) {
