Keep the limits in force where a manifest states none

One limit that was missing or invalid replaced all four by their defaults: an edit with a wrong idle time-out raised the bytes of a body from the 1,000 that were in force, and stated, to 64 MiB. A manifest without limits did the same.

Each limit is read by itself. One that is not stated is never above its default or the one in force.

Test: Objects/LimitsThatAreNotStatedRaiseNone replaces the row "limits" of InvalidPartsLeaveTheOthersInForce, which only asked for a finding: it asks for that and for the values, for each field and form.

--- a/include/dragonflymoor/Steering/Manifest.h
+++ b/include/dragonflymoor/Steering/Manifest.h
@@ -83,6 +83,17 @@
   auto operator<=>(const CallerLimits&) const = default;
 };
 
+/// The limits that a manifest does not state, or not validly.
+struct UnstatedLimits
+{
+  bool headerBytes = false;
+  bool bodyBytes = false;
+  bool headerTimeout = false;
+  bool idleTimeout = false;
+
+  auto operator<=>(const UnstatedLimits&) const = default;
+};
+
 /// One version of the operator's configuration. A higher version replaces a lower one.
 struct Manifest
 {
@@ -95,7 +106,8 @@
   /// Whether callers of routes that are not public need a key, also when no workspace has one.
   bool needsKeys = true;
   std::vector<Workspace> workspaces;
-  CallerLimits limits;
+  CallerLimits limits; ///< Defaults where unstatedLimits is set.
+  UnstatedLimits unstatedLimits;
   /// Invalid parts, which are left out or refuse their requests. The rest is served.
   Findings problems;
 
@@ -136,6 +148,11 @@
   std::unordered_map<std::string_view, const Workspace*> workspacesByKey_;
 };
 
+/// Returns the limits that hold when aNew replaces a manifest with the limits aInForce. A limit that
+/// aNew does not state is never above the one in force or its default. Thread-safe.
+CallerLimits
+LimitsAfter(const Manifest& aNew, const CallerLimits& aInForce);
+
 /// Whether a request on aRoute may be served in aRegion. aWorkspace is the caller's, or null. The
 /// homes of both bind. Thread-safe.
 bool
--- a/lib/Check/ManifestDiff.cpp
+++ b/lib/Check/ManifestDiff.cpp
@@ -280,7 +280,7 @@
 {
   Effects limits;
   const CallerLimits& before = aInForce.limits;
-  const CallerLimits& after = aNew.limits;
+  const CallerLimits after = LimitsAfter(aNew, before);
   Compare(limits, "bytes of a header", before.headerBytes, after.headerBytes, NumberText<size_t>);
   Compare(limits, "bytes of a body", before.bodyBytes, after.bodyBytes, NumberText<size_t>);
   Compare(limits, "time for a header", before.headerTimeout, after.headerTimeout, Seconds);
--- a/lib/Steering/FleetKeeper.cpp
+++ b/lib/Steering/FleetKeeper.cpp
@@ -168,6 +168,8 @@
 FleetKeeper::PutInForce(Manifest aManifest, const std::string& aContent)
 {
   manifestContent_ = aContent;
+  if (routes_ != nullptr)
+    aManifest.limits = LimitsAfter(aManifest, routes_->GetManifest().limits);
   routes_ =
     std::make_shared<const RouteIndex>(std::make_shared<const Manifest>(std::move(aManifest)));
   hooks_.manifestChanged(routes_->GetManifest());
--- a/lib/Steering/Manifest.cpp
+++ b/lib/Steering/Manifest.cpp
@@ -101,6 +101,22 @@
   });
 }
 
+CallerLimits
+LimitsAfter(const Manifest& aNew, const CallerLimits& aInForce)
+{
+  const UnstatedLimits& unstated = aNew.unstatedLimits;
+  CallerLimits limits = aNew.limits;
+  if (unstated.headerBytes)
+    limits.headerBytes = std::min(limits.headerBytes, aInForce.headerBytes);
+  if (unstated.bodyBytes)
+    limits.bodyBytes = std::min(limits.bodyBytes, aInForce.bodyBytes);
+  if (unstated.headerTimeout)
+    limits.headerTimeout = std::min(limits.headerTimeout, aInForce.headerTimeout);
+  if (unstated.idleTimeout)
+    limits.idleTimeout = std::min(limits.idleTimeout, aInForce.idleTimeout);
+  return limits;
+}
+
 bool
 MayServeIn(const Route& aRoute, const Workspace* aWorkspace, const RegionId& aRegion)
 {
--- a/unittests/Platform/CheckReportTest.cpp
+++ b/unittests/Platform/CheckReportTest.cpp
@@ -185,6 +185,7 @@
   { "/tenants/1/rate_per_s", "0.1", kWarning, "manifest.tenants[1].rate_per_s", "less than one" },
   { "/tenants/1/rate_per_s", "0.5", kWarning, "manifest.services[1]", "allow 5.5 requests/s" },
   { "/tenants/0/rate_per_s", "0", kWarning, "manifest.tenants[0].burst", "without a rate" },
+  { "/limits", "null", kError, "manifest.limits", "object" },
   { "/limits/max_body_bytes",
     "1000000",
     kWarning,
--- a/unittests/Platform/ObjectsTest.cpp
+++ b/unittests/Platform/ObjectsTest.cpp
@@ -168,15 +168,71 @@
     const Route* other = routes.Find("other.example", "/a/b/x");
     cr_assert(hostIsKnown ? other == nullptr : other->invalid);
   }
-  const std::vector<InvalidPart> kLeftOutRows{
-    { "limits", [](json::object& aSpec) { aSpec["limits"] = "none"; } },
+}
+
+struct LimitRow
+{
+  const char* field;
+  UnstatedLimits unstated;
+  CallerLimits limits; ///< That hold when it is not stated, after those of ValidManifest().
+};
+
+/// Guards against a limit that is missing or invalid and raises a limit in force, its own or one
+/// that is stated.
+Test(Objects, LimitsThatAreNotStatedRaiseNone)
+{
+  const CallerLimits inForce = DecodeManifest(json::serialize(ValidManifest()))->limits;
+  const CallerLimits stated{
+    .headerBytes = 20'000, .bodyBytes = 2'000, .headerTimeout = 4s, .idleTimeout = 20s
   };
-  for (const InvalidPart& row : kLeftOutRows) {
-    json::value value = ManifestWithSecondParts();
-    row.change(value.as_object()["spec"].as_object());
+  const auto with = [&stated](const std::function<void(CallerLimits&)>& aChange) {
+    CallerLimits limits = stated;
+    aChange(limits);
+    return limits;
+  };
+  const std::vector<LimitRow> kRows{
+    { "max_header_bytes", { .headerBytes = true }, with([](CallerLimits& aLimits) {
+        aLimits.headerBytes = 16'384;
+      }) },
+    { "max_body_bytes", { .bodyBytes = true }, with([](CallerLimits& aLimits) {
+        aLimits.bodyBytes = 1'000;
+      }) },
+    { "header_timeout_s", { .headerTimeout = true }, with([](CallerLimits& aLimits) {
+        aLimits.headerTimeout = 3s;
+      }) },
+    { "idle_timeout_s", { .idleTimeout = true }, with([](CallerLimits& aLimits) {
+        aLimits.idleTimeout = 15s;
+      }) },
+  };
+  for (const LimitRow& row : kRows) {
+    for (const char* form : { "", "null", "\"\"", "-1", "{}" }) {
+      json::value value = ValidManifest();
+      json::object& spec = value.as_object()["spec"].as_object();
+      json::object limits{ { "max_header_bytes", 20'000 },
+                           { "max_body_bytes", 2'000 },
+                           { "header_timeout_s", 4 },
+                           { "idle_timeout_s", 20 } };
+      if (*form == '\0')
+        limits.erase(row.field);
+      else
+        limits[row.field] = json::parse(form);
+      spec["limits"] = limits;
+      const auto manifest = DecodeManifest(json::serialize(value));
+      cr_assert(manifest.has_value() && manifest->unstatedLimits == row.unstated);
+      cr_assert(manifest->problems.at(0).place.ends_with(row.field));
+      cr_assert(LimitsAfter(*manifest, inForce) == row.limits);
+    }
+  }
+  for (const char* form : { "", "null", "{}", "[]", "\"none\"" }) {
+    json::value value = ValidManifest();
+    json::object& spec = value.as_object()["spec"].as_object();
+    if (*form == '\0')
+      spec.erase("limits");
+    else
+      spec["limits"] = json::parse(form);
     const auto manifest = DecodeManifest(json::serialize(value));
-    cr_assert(manifest.has_value());
-    cr_assert(manifest->problems.at(0).place.ends_with(row.place));
+    cr_assert(manifest.has_value() && LimitsAfter(*manifest, inForce) == inForce);
+    cr_assert(manifest->problems.empty() == (*form == '\0'));
   }
 }
 
