Remove the name of a workspace that a caller chose

Where the manifest says nothing of workspaces, X-Tenant of a caller reached the instance as it was sent. After an edit that drops the list, instances that trust it served a caller as any customer that it named.

It is removed from every request. Authorization is left alone there: then it is a matter between callers and instances.

Test: Identity/CallersNameNoWorkspaceWhereNoKeyIsNeeded; it fails with the header left in place.

--- a/include/dragonflymoor/Gateway/Protocol.h
+++ b/include/dragonflymoor/Gateway/Protocol.h
@@ -73,6 +73,9 @@
   /// Replaces what the caller sent about its identity by the name of aWorkspace, or by nothing when
   /// it is null.
   std::function<void(http::fields&, const WorkspaceId* aWorkspace)> writeIdentity;
+  /// Removes the name of a workspace that the caller sent. Used where callers need no key; other
+  /// credentials are between them and the instances then.
+  std::function<void(http::fields&)> removeWorkspace;
   /// Parses the status and headers of an instance's answer.
   std::function<AnswerHeaders(unsigned aStatus, const http::fields&)> readAnswerHeaders;
   /// Parses the target of a directory request. Empty when the target is not a directory query.
--- a/lib/Gateway/CallerFront.cpp
+++ b/lib/Gateway/CallerFront.cpp
@@ -157,6 +157,8 @@
   if (aRequest.routes->GetManifest().needsKeys)
     protocol_.writeIdentity(aRequest.message,
                             aRequest.workspace == nullptr ? nullptr : &aRequest.workspace->id);
+  else
+    protocol_.removeWorkspace(aRequest.message);
   const SegmentedBytes& body = *aRequest.message.body();
   if (aRequest.message.has_content_length() || !body.Empty())
     aRequest.message.content_length(body.Size());
--- a/unittests/Platform/IdentityTest.cpp
+++ b/unittests/Platform/IdentityTest.cpp
@@ -156,6 +156,27 @@
   }
 }
 
+/// Guards against a workspace's name that a caller chose and that reaches an instance where callers
+/// need no key, and against other credentials that are lost there.
+Test(Identity, CallersNameNoWorkspaceWhereNoKeyIsNeeded)
+{
+  KeyFixture fixture;
+  test::StandInInstance instance("i-1");
+  fixture.Store().Put("servers", "i-1", test::InstanceSpec(instance, "reader"));
+  fixture.PutManifest(1, "");
+  fixture.Start();
+  cr_assert(fixture.StatusFor("/read/x", "of-the-instance", "q-1") == 200);
+  bool received = false;
+  for (const test::Request& request : instance.ReceivedRequests()) {
+    cr_assert(request.count("X-Tenant") == 0);
+    if (request["X-Request-Id"] != "q-1")
+      continue;
+    received = true;
+    cr_assert(request[http::field::authorization] == "Bearer of-the-instance");
+  }
+  cr_assert(received);
+}
+
 /// Guards against a key that reaches an instance, against a workspace's name that the caller chose,
 /// and against a withdrawn key that is accepted.
 Test(Identity, InstancesGetTheWorkspaceInPlaceOfTheKey)
