Warn before an edit that opens something by leaving it out

Both are warnings now: the first because all routes become open and keys that callers still send reach instances, the second because a VM that starts uses the defaults.

Test: CheckReport/WarnsOfWhatAnEditOpens.

--- a/include/dragonflymoor/Check/ManifestCheck.h
+++ b/include/dragonflymoor/Check/ManifestCheck.h
@@ -83,6 +83,11 @@
               const SteeringSettings* aSettings,
               const ManifestCheckOptions& aOptions);
 
+/// Finds what aNew leaves out and thereby opens to callers, compared with aInForce. Safe to call from
+/// any thread.
+std::vector<ManifestFinding>
+CheckOpenings(const Manifest& aNew, const Manifest& aInForce);
+
 /// As the daemon decides it: whether aNew can replace aInForce.
 std::vector<ManifestFinding>
 CheckVersion(const Manifest& aNew, const Manifest& aInForce);
--- a/lib/Check/ManifestCheck.cpp
+++ b/lib/Check/ManifestCheck.cpp
@@ -395,6 +395,23 @@
   return Checker(aManifest, aSettings, aOptions).Run();
 }
 
+std::vector<ManifestFinding>
+CheckOpenings(const Manifest& aNew, const Manifest& aInForce)
+{
+  std::vector<ManifestFinding> findings;
+  if (aInForce.needsKeys && !aNew.needsKeys)
+    findings.push_back(
+      { .place = { .field = ManifestField::Workspaces },
+        .message = "are missing, but the version in force has them: callers need no key on any "
+                   "route, and instances get the keys that callers still send" });
+  if (LimitsAfter(aNew, aInForce.limits) != aNew.limits)
+    findings.push_back(
+      { .place = { .part = ManifestPart::Limits },
+        .message = "are not all stated; a VM that starts uses the defaults, which are above those "
+                   "in force" });
+  return findings;
+}
+
 std::vector<ManifestFinding>
 CheckVersion(const Manifest& aNew, const Manifest& aInForce)
 {
--- a/unittests/Platform/CheckReportTest.cpp
+++ b/unittests/Platform/CheckReportTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/CheckReport.h"
 
 #include "platform/Objects.h"
+#include <array>
 #include <boost/json.hpp>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
@@ -308,6 +309,31 @@
   }
 }
 
+/// Guards against an edit that opens something by leaving it out, and that an operator does not see
+/// before it is in force.
+Test(CheckReport, WarnsOfWhatAnEditOpens)
+{
+  static const std::array<const char*, 3> kRows[] = {
+    { "/tenants", "", "manifest.tenants" },
+    { "/limits", "", "manifest.limits" },
+    { "/limits/max_body_bytes", "null", "manifest.limits" },
+  };
+  for (const auto& [pointer, value, place] : kRows) {
+    CheckInput input = MakeInput(Changed(pointer, value));
+    input.inForce = kManifest;
+    const CheckReport report = CheckConfiguration(input);
+    cr_expect(std::any_of(report.findings.begin(),
+                          report.findings.end(),
+                          [&place = place](const CheckFinding& aFinding) {
+                            return aFinding.severity == kWarning && aFinding.place == place;
+                          }),
+              "%s: %s",
+              pointer,
+              TextOf(report).c_str());
+    cr_assert(CheckConfiguration({ .manifest = kManifest, .inForce = kManifest }) == CheckReport{});
+  }
+}
+
 /// Guards against a version that the daemon ignores after the check has passed it.
 Test(CheckReport, ComparesVersions)
 {
