Test withdrawn keys on open connections and unreadable limits at a VM

A connection that was opened before a version without workspaces gets 401 for its next request, and a body above the limit in force stays refused after an edit that sets the limit to null.

--- a/unittests/Platform/IdentityTest.cpp
+++ b/unittests/Platform/IdentityTest.cpp
@@ -2,6 +2,9 @@
 #include "GatewayFixture.h"
 #include "platform/Requests.h"
 
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
@@ -156,6 +159,56 @@
   }
 }
 
+/// Guards against a connection from before an edit on which the withdrawn key still counts.
+Test(Identity, WithdrawnKeysEndOnOpenConnections)
+{
+  KeyFixture fixture;
+  test::StandInInstance instance("i-1");
+  fixture.Store().Put("servers", "i-1", test::InstanceSpec(instance, "reader"));
+  fixture.PutManifest(1, kOneWorkspace);
+  fixture.Start();
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(ToTcp(fixture.Settings().self.callers));
+  beast::flat_buffer buffer;
+  const auto statusOnConnection = [&](const std::string& aId) {
+    http::write(socket, fixture.KeyRequest("/read/x", "held", aId));
+    test::Response response;
+    http::read(socket, buffer, response);
+    return response.result_int();
+  };
+  cr_assert(statusOnConnection("before") == 200);
+  fixture.PutManifest(2, "[]");
+  cr_assert(GatewayFixture::WaitUntil(
+    [&fixture] { return fixture.StatusFor("/read/x", "held", "switch") == 401; }));
+  cr_assert(statusOnConnection("after") == 401);
+}
+
+/// Guards against an edit of the limits that cannot be read and lets larger bodies in.
+Test(Identity, UnreadableLimitsAdmitNoLargerBody)
+{
+  KeyFixture fixture;
+  test::StandInInstance instance("i-1");
+  fixture.Store().Put("servers", "i-1", test::InstanceSpec(instance, "reader"));
+  const auto putManifest = [&fixture](unsigned aVersion, const test::json::value& aBodyBytes) {
+    test::json::value spec = test::ManifestSpec(aVersion, { {}, { .prefix = "/new/" } });
+    if (aVersion == 1)
+      spec.at_pointer("/routes").as_array().pop_back();
+    spec.at_pointer("/limits").as_object()["max_body_bytes"] = aBodyBytes;
+    fixture.Store().Put("config", "main", spec);
+  };
+  const std::string body(2'000, 'x');
+  putManifest(1, 1'000);
+  fixture.Start();
+  const auto before = fixture.Send(http::verb::post, "/read/x", "before", body);
+  cr_assert(before && before->result() == http::status::payload_too_large);
+  putManifest(2, nullptr);
+  cr_assert(GatewayFixture::WaitUntil(
+    [&fixture] { return fixture.StatusFor("/new/x", "", "switch") == 200; }));
+  const auto after = fixture.Send(http::verb::post, "/read/x", "after", body);
+  cr_assert(after && after->result() == http::status::payload_too_large);
+}
+
 /// Guards against a workspace's name that a caller chose and that reaches an instance where callers
 /// need no key, and against other credentials that are lost there.
 Test(Identity, CallersNameNoWorkspaceWhereNoKeyIsNeeded)
