--- a/include/dragonflymoor/Check/ManifestCheck.h
+++ b/include/dragonflymoor/Check/ManifestCheck.h
@@ -83,8 +83,8 @@
               const SteeringSettings* aSettings,
               const ManifestCheckOptions& aOptions);
 
-/// Finds what aNew leaves out and thereby opens to callers, compared with aInForce. Safe to call from
-/// any thread.
+/// Finds what aNew leaves out and thereby opens to callers, compared with aInForce. Safe to call
+/// from any thread.
 std::vector<ManifestFinding>
 CheckOpenings(const Manifest& aNew, const Manifest& aInForce);
 
--- a/include/dragonflymoor/Steering/Manifest.h
+++ b/include/dragonflymoor/Steering/Manifest.h
@@ -148,8 +148,8 @@
   std::unordered_map<std::string_view, const Workspace*> workspacesByKey_;
 };
 
-/// Returns the limits that hold when aNew replaces a manifest with the limits aInForce. A limit that
-/// aNew does not state is never above the one in force or its default. Thread-safe.
+/// Returns the limits that hold when aNew replaces a manifest with the limits aInForce. A limit
+/// that aNew does not state is never above the one in force or its default. Thread-safe.
 CallerLimits
 LimitsAfter(const Manifest& aNew, const CallerLimits& aInForce);
 
